--- a/src/main/java/holdproxy/BadInput.java
+++ b/src/main/java/holdproxy/BadInput.java
@@ -1,10 +1,10 @@
 package holdproxy;
 
 /** Input that does not follow the wire; the message says what and where, on one line. */
-final class BadInput extends RuntimeException {
+public final class BadInput extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    BadInput(String message) {
+    public BadInput(String message) {
         super(message);
     }
 }
--- a/src/main/java/holdproxy/Main.java
+++ b/src/main/java/holdproxy/Main.java
@@ -1,21 +1,38 @@
 package holdproxy;
 
+import holdproxy.net.Proxy;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
 
-/** Command line: {@code simhost} runs the module on the simulator's wire. */
+/** Command line: {@code serve} runs the real proxy, {@code simhost} the module on the simulator's wire. */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar holdproxy.jar simhost"
-                    + "   (batches of events on standard input, replies on standard output)");
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "serve" -> serve();
+            case "simhost" -> simhost();
+            default -> {
+                System.err.println("usage: java -jar holdproxy.jar serve | simhost");
+                System.exit(2);
+            }
+        }
+    }
+
+    private static void serve() {
+        try {
+            Proxy.serve(System.getenv());
+        } catch (BadInput e) {
+            System.err.println("holdproxy: " + e.getMessage());
             System.exit(2);
         }
+    }
+
+    private static void simhost() {
         try {
             FileInputStream in = new FileInputStream(FileDescriptor.in);
             new SimHost(in, new FileOutputStream(FileDescriptor.out)).run();
--- a/src/main/java/holdproxy/SettingsText.java
+++ b/src/main/java/holdproxy/SettingsText.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /** Reads the settings' path=value lines; unknown paths are ignored, missing ones take a safe default. */
-final class SettingsText {
+public final class SettingsText {
     private static final int MOST_ITEMS = 100_000;
 
     private final Map<String, String> values = new HashMap<>();
@@ -21,7 +21,12 @@
         }
     }
 
-    Router.Settings settings() {
+    /** The same paths and values, already apart. */
+    public SettingsText(Map<String, String> pairs) {
+        values.putAll(pairs);
+    }
+
+    public Router.Settings settings() {
         Router.Settings s = new Router.Settings();
         s.index = integer("index", 0, 0);
         s.routers = integer("balancers", 1, 1);
@@ -97,10 +102,25 @@
     }
 
     /** The names of the values in the load reports, in their order there. */
-    String[] reportFields() {
+    public String[] reportFields() {
         return values.getOrDefault("reporting.fields", "").split(",");
     }
 
+    /** Puts one value of a load report where it belongs; its name is the wire's or the protocol's. */
+    public static void report(String field, double value, Router.Report report) {
+        switch (field) {
+            case "rif", "inflight" -> report.inFlight = value;
+            case "q", "queue" -> report.queue = value;
+            case "busy", "util" -> report.busy = value;
+            case "lat_ms", "latency_ms" -> report.latencyUs = value * 1000.0;
+            case "rate", "qps" -> report.servedPerS = value;
+            case "fail_rate", "eps" -> report.errorsPerS = value;
+            case "x0" -> report.hitShare = value;
+            case "x1" -> report.fetchesOut = value;
+            default -> { } // a value not known here
+        }
+    }
+
     private Router.RequestClass requestClass(String path) {
         Router.RequestClass c = new Router.RequestClass();
         c.name = values.getOrDefault(path + "name", "");
--- a/src/main/java/holdproxy/SimHost.java
+++ b/src/main/java/holdproxy/SimHost.java
@@ -227,17 +227,7 @@
         report.clear();
         for (int i = 0; i < n; i++) {
             float value = reader.f32();
-            switch (i < fields.length ? fields[i] : "") {
-                case "rif" -> report.inFlight = value;
-                case "q" -> report.queue = value;
-                case "busy" -> report.busy = value;
-                case "lat_ms" -> report.latencyUs = value * 1000.0;
-                case "rate" -> report.servedPerS = value;
-                case "fail_rate" -> report.errorsPerS = value;
-                case "x0" -> report.hitShare = value;
-                case "x1" -> report.fetchesOut = value;
-                default -> { } // a value not known here
-            }
+            SettingsText.report(i < fields.length ? fields[i] : "", value, report);
         }
     }
 
--- /dev/null
+++ b/src/main/java/holdproxy/net/Answer.java
@@ -0,0 +1,118 @@
+package holdproxy.net;
+
+import holdproxy.Router;
+import holdproxy.SettingsText;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** One answer of a cache node. */
+final class Answer {
+    final Router.Outcome outcome;
+    /** The id that it names; null on an error line. */
+    String opaque;
+    String receipt;
+    byte[] value;
+    Router.CacheNote note = Router.CacheNote.NONE;
+    private String load;
+    /** Set where the node broke the protocol: what it sends after this cannot be told apart. */
+    boolean broken;
+
+    private Answer(Router.Outcome outcome) {
+        this.outcome = outcome;
+    }
+
+    void report(Router.Report report) {
+        report.clear();
+        if (load == null) {
+            return;
+        }
+        for (String field : load.split(",")) {
+            int eq = field.indexOf('=');
+            if (eq > 0) {
+                try {
+                    SettingsText.report(field.substring(0, eq), Double.parseDouble(field.substring(eq + 1)), report);
+                } catch (NumberFormatException e) {
+                    // a figure that is none tells nothing
+                }
+            }
+        }
+    }
+
+    /** The lines for the client; what the node tells the proxy alone is left out. */
+    ByteBuf encode(ByteBufAllocator alloc) {
+        int length = value == null ? 0 : value.length;
+        ByteBuf out = alloc.buffer(opaque.length() + 32 + length + (receipt == null ? 0 : receipt.length()));
+        String line = value != null ? "VA " + length + " " + opaque
+                : receipt != null ? "HD " + opaque + " " + receipt : "HD " + opaque;
+        out.writeCharSequence(line + "\r\n", StandardCharsets.ISO_8859_1);
+        if (value != null) {
+            out.writeBytes(value).writeByte('\r').writeByte('\n');
+        }
+        return out;
+    }
+
+    static final class Decoder extends MetaDecoder {
+        private Answer pending;
+
+        @Override
+        int line(String line, List<Object> out) {
+            String[] tokens = line.split(" ");
+            switch (tokens.length == 0 ? "" : tokens[0]) {
+                case "VA" -> {
+                    pending = new Answer(Router.Outcome.OK);
+                    flags(pending, tokens, 2);
+                    return tokens.length < 2 ? -2 : number(tokens[1]);
+                }
+                case "HD" -> {
+                    Answer a = new Answer(Router.Outcome.OK);
+                    flags(a, tokens, 1);
+                    out.add(a);
+                }
+                case "SERVER_ERROR" -> {
+                    boolean busy = tokens.length > 1 && tokens[1].equals("busy");
+                    Answer a = new Answer(busy ? Router.Outcome.OVERLOADED : Router.Outcome.ERROR);
+                    flags(a, tokens, 2);
+                    a.opaque = null;
+                    out.add(a);
+                }
+                default -> broken(line, out);
+            }
+            return NO_BLOCK;
+        }
+
+        private static void flags(Answer a, String[] tokens, int from) {
+            boolean fetching = false;
+            for (int i = from; i < tokens.length; i++) {
+                String t = tokens[i];
+                switch (t.isEmpty() ? ' ' : t.charAt(0)) {
+                    case 'O' -> a.opaque = t;
+                    case 'c' -> a.receipt = t;
+                    case 'h' -> a.note = t.equals("h1") ? Router.CacheNote.HIT : Router.CacheNote.MISS;
+                    case 'Z' -> fetching = true;
+                    case 'L' -> a.load = t.substring(1);
+                    default -> { } // a flag not known here
+                }
+            }
+            if (fetching && a.note == Router.CacheNote.MISS) {
+                a.note = Router.CacheNote.MISS_FETCHING;
+            }
+        }
+
+        @Override
+        void block(byte[] value, List<Object> out) {
+            pending.value = value;
+            out.add(pending);
+            pending = null;
+        }
+
+        @Override
+        void broken(String why, List<Object> out) {
+            Answer a = new Answer(Router.Outcome.ERROR);
+            a.broken = true;
+            a.receipt = why;
+            out.add(a);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/net/Attempt.java
@@ -0,0 +1,30 @@
+package holdproxy.net;
+
+import holdproxy.Router;
+import io.netty.util.concurrent.Future;
+
+/** One sending of a request to a cache node: from the module's wish to exactly one outcome. */
+final class Attempt {
+    final Exchange exchange;
+    final int number;
+    final long sentUs;
+    /** How long the proxy waits for it. */
+    final long waitUs;
+    /** Whether its last byte has gone to the kernel: from there on it may run. */
+    boolean written;
+    boolean over;
+    NodeConnection connection;
+    Future<?> timer;
+
+    Attempt(Exchange exchange, int number, long sentUs, long waitUs) {
+        this.exchange = exchange;
+        this.number = number;
+        this.sentUs = sentUs;
+        this.waitUs = waitUs;
+    }
+
+    /** What a broken connection means for it. */
+    Router.Outcome broken() {
+        return written ? Router.Outcome.RESET : Router.Outcome.CONNECT_FAILED;
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/net/Command.java
@@ -0,0 +1,230 @@
+package holdproxy.net;
+
+import holdproxy.Router;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+/** One {@code mg} or {@code ms} of a client: what the module is told of it, and its bytes for a cache node. */
+final class Command {
+    private static final byte[] CRLF = {'\r', '\n'};
+    private static final int LONGEST_KEY = 250;
+    private static final int LONGEST_ID = 64;
+
+    final boolean write;
+    final String opaque;
+    final int requestClass;
+    final int tenant;
+    final long key;
+    /** How long the client waits from its sending on, in milliseconds; 0: as long as the class has. */
+    final int waitMs;
+    final double costUs;
+    final double sizeBytes;
+    final boolean repeat;
+    private final String beforeWait;
+    private final String afterWait;
+    private byte[] value;
+
+    /** A command that cannot be understood; the message is for the client. */
+    static final class Bad extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Bad(String message) {
+            super(message, null, false, false);
+        }
+    }
+
+    /** Indexes of the classes and tenants of the settings by their names. */
+    record Names(Map<String, Integer> classes, Map<String, Integer> tenants) {
+    }
+
+    Command(String line, String[] tokens, boolean write, Names names) throws Bad {
+        this.write = write;
+        String keyText = tokens[1];
+        if (keyText.isEmpty() || keyText.length() > LONGEST_KEY) {
+            throw new Bad("bad key");
+        }
+        String id = null;
+        String fields = null;
+        for (int i = write ? 3 : 2; i < tokens.length; i++) {
+            if (tokens[i].startsWith("O")) {
+                id = tokens[i];
+            } else if (tokens[i].startsWith("P")) {
+                fields = tokens[i].substring(1);
+            }
+        }
+        if (id == null || id.length() == 1 || id.length() > LONGEST_ID || fields == null) {
+            throw new Bad("O and P are needed");
+        }
+        opaque = id;
+        key = key(keyText);
+        int type = -1;
+        int who = names.tenants.isEmpty() ? 0 : -1;
+        int wait = 0;
+        double hint = 0;
+        double size = 0;
+        boolean again = false;
+        for (String field : fields.split(",")) {
+            int eq = field.indexOf('=');
+            String text = field.substring(eq + 1);
+            switch (eq < 0 ? "" : field.substring(0, eq)) {
+                case "c" -> type = names.classes.getOrDefault(text, -1);
+                case "t" -> who = names.tenants.getOrDefault(text, who);
+                case "d" -> wait = MetaDecoder.number(text);
+                case "h" -> hint = figure(text);
+                case "size" -> size = figure(text);
+                case "r" -> again = text.equals("1");
+                default -> { } // passed on unread
+            }
+        }
+        if (type < 0 || who < 0 || wait < 0) {
+            throw new Bad("c, t or d is not known here");
+        }
+        requestClass = type;
+        tenant = who;
+        waitMs = wait;
+        costUs = hint;
+        sizeBytes = size;
+        repeat = again;
+        int at = line.indexOf(" P" + fields) + 2;
+        int d = fields.startsWith("d=") ? 2 : fields.indexOf(",d=") + 3;
+        if (d < 3 && !fields.startsWith("d=")) {
+            beforeWait = line;
+            afterWait = null;
+        } else {
+            int end = fields.indexOf(',', d);
+            beforeWait = line.substring(0, at + d);
+            afterWait = line.substring(end < 0 ? at + fields.length() : at + end);
+        }
+    }
+
+    void value(byte[] bytes) {
+        value = bytes;
+    }
+
+    int valueBytes() {
+        return value == null ? 0 : value.length;
+    }
+
+    private static double figure(String text) throws Bad {
+        try {
+            double v = Double.parseDouble(text);
+            if (v >= 0 && v < 1e12) {
+                return v;
+            }
+        } catch (NumberFormatException e) {
+            // said below
+        }
+        throw new Bad("bad figure in P");
+    }
+
+    /** The key as the module's number: the same at every proxy, so that all pick the same nodes for it. */
+    private static long key(String text) {
+        long number = 0;
+        boolean hex = text.length() <= 16;
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            int digit = Character.digit(text.charAt(i), 16);
+            hex &= digit >= 0;
+            number = number << 4 | digit & 15;
+            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        long key = hex ? number : hash;
+        return key != 0 ? key : 1; // 0 would say that there is none
+    }
+
+    void fill(Router.Request q) {
+        q.requestClass = requestClass;
+        q.tenant = tenant;
+        q.key = key;
+        q.costUs = costUs;
+        q.sizeBytes = sizeBytes;
+        q.repeat = repeat;
+        q.write = write;
+    }
+
+    /** The command for a node that the proxy will wait for so long. */
+    ByteBuf encode(ByteBufAllocator alloc, long waitUs) {
+        String wait = afterWait == null ? "" : Long.toString(Math.max(1, waitUs / 1000)) + afterWait;
+        ByteBuf out = alloc.buffer(beforeWait.length() + wait.length() + 4 + valueBytes());
+        out.writeCharSequence(beforeWait, StandardCharsets.ISO_8859_1);
+        out.writeCharSequence(wait, StandardCharsets.ISO_8859_1);
+        out.writeBytes(CRLF);
+        if (value != null) {
+            out.writeBytes(value).writeBytes(CRLF);
+        }
+        return out;
+    }
+
+    /** Reads commands off a client's connection: each is a Command, a {@link Greeting} or a {@link Fault}. */
+    static final class Decoder extends MetaDecoder {
+        private final Names names;
+        private Command pending;
+        private String pendingFault;
+
+        Decoder(Names names) {
+            this.names = names;
+        }
+
+        @Override
+        int line(String line, List<Object> out) {
+            String[] tokens = line.split(" ");
+            String verb = tokens.length == 0 ? "" : tokens[0];
+            boolean write = verb.equals("ms");
+            if (line.equals("mn")) {
+                out.add(new Greeting());
+            } else if (!write && !verb.equals("mg")) {
+                out.add(new Fault("ERROR", false));
+            } else if (tokens.length < (write ? 3 : 2)) {
+                out.add(new Fault("CLIENT_ERROR bad command line format", write));
+            } else {
+                return request(line, tokens, write, out);
+            }
+            return NO_BLOCK;
+        }
+
+        private int request(String line, String[] tokens, boolean write, List<Object> out) {
+            int length = write ? number(tokens[2]) : NO_BLOCK;
+            try {
+                pending = new Command(line, tokens, write, names);
+                pendingFault = null;
+                if (!write) {
+                    out.add(pending);
+                }
+            } catch (Bad e) {
+                pendingFault = "CLIENT_ERROR " + e.getMessage();
+                if (!write) {
+                    out.add(new Fault(pendingFault, false));
+                }
+            }
+            return length;
+        }
+
+        @Override
+        void block(byte[] value, List<Object> out) {
+            if (pendingFault != null) {
+                out.add(new Fault(pendingFault, false));
+            } else {
+                pending.value(value);
+                out.add(pending);
+            }
+            pending = null;
+        }
+
+        @Override
+        void broken(String why, List<Object> out) {
+            pending = null;
+            out.add(new Fault("CLIENT_ERROR " + why, true));
+        }
+    }
+
+    /** {@code mn}: whether the proxy is there. */
+    record Greeting() {
+    }
+
+    /** A line for a client that did not keep to the protocol, and whether nothing after it can be read. */
+    record Fault(String line, boolean close) {
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/net/Config.java
@@ -0,0 +1,160 @@
+package holdproxy.net;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import holdproxy.BadInput;
+import holdproxy.Router;
+import holdproxy.SettingsText;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What this proxy is told at its start, checked: anything missing or malformed is a {@link BadInput}. */
+final class Config {
+    final String name;
+    final InetSocketAddress listen;
+    final InetSocketAddress discovery;
+    final long seed;
+    /** File descriptors that the process may hold. */
+    final int sockets;
+    final Router.Settings settings;
+    final List<?> zones;
+    final List<?> kinds;
+    /** The list as last had, in discovery's form. */
+    final Map<String, Object> known;
+
+    private Config(Map<String, String> env) {
+        name = variable(env, "LB_NAME");
+        listen = address(variable(env, "LB_LISTEN"), "LB_LISTEN");
+        discovery = address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
+        Map<String, Object> json = read(variable(env, "LB_CONFIG"));
+        seed = seed(text(json, "seed", "the configuration"));
+        Object limit = object(json, "limits", "the configuration").get("sockets");
+        if (!(limit instanceof Number n) || n.intValue() < 128) {
+            throw new BadInput("limits.sockets in the configuration is not a number of at least 128");
+        }
+        sockets = n.intValue();
+        known = object(json, "known", "the configuration");
+        Map<String, Object> raw = object(json, "settings", "the configuration");
+        Map<String, String> pairs = new HashMap<>();
+        flatten("", raw, pairs);
+        settings = new SettingsText(pairs).settings();
+        try {
+            settings.check();
+        } catch (IllegalArgumentException e) {
+            throw new BadInput("settings in the configuration: " + e.getMessage());
+        }
+        zones = list(raw, "localities");
+        kinds = list(raw, "kinds");
+    }
+
+    static Config load(Map<String, String> env) {
+        return new Config(env);
+    }
+
+    private static String variable(Map<String, String> env, String name) {
+        String value = env.get(name);
+        if (value == null || value.isBlank()) {
+            throw new BadInput("the variable " + name + " is not set");
+        }
+        return value.strip();
+    }
+
+    private static Map<String, Object> read(String path) {
+        String text;
+        try {
+            text = Files.readString(Path.of(path));
+        } catch (IOException | IllegalArgumentException e) {
+            throw new BadInput("the configuration " + path + " (LB_CONFIG) cannot be read: "
+                    + e.getClass().getSimpleName());
+        }
+        Map<String, Object> json = parse(text);
+        if (json == null) {
+            throw new BadInput("the configuration " + path + " (LB_CONFIG) is not a JSON object");
+        }
+        return json;
+    }
+
+    /** The text as a JSON object, or null. */
+    static Map<String, Object> parse(String text) {
+        try {
+            return JSON.std.mapFrom(text);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** An address of digits: the deployment has no name service, and a look-up would block the loop. */
+    static InetSocketAddress address(String text, String what) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        if (host.startsWith("[") && host.endsWith("]")) {
+            host = host.substring(1, host.length() - 1);
+        }
+        byte[] bytes = NetUtil.createByteArrayFromIpAddressString(host);
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (bytes != null && port >= 0 && port < 65536) {
+                return new InetSocketAddress(InetAddress.getByAddress(bytes), port);
+            }
+        } catch (NumberFormatException | UnknownHostException e) {
+            // said below
+        }
+        throw new BadInput(what + " is not an address and port: " + shown(text));
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new BadInput("seed in the configuration is not a hexadecimal number: " + shown(text));
+        }
+    }
+
+    static String text(Map<String, Object> from, String key, String where) {
+        if (from.get(key) instanceof String s && !s.isEmpty()) {
+            return s;
+        }
+        throw new BadInput(key + " is missing from " + where);
+    }
+
+    @SuppressWarnings("unchecked") // the parser makes no other maps than these
+    private static Map<String, Object> object(Map<String, Object> from, String key, String where) {
+        if (from.get(key) instanceof Map<?, ?> m) {
+            return (Map<String, Object>) m;
+        }
+        throw new BadInput(key + " is missing from " + where);
+    }
+
+    private static List<?> list(Map<String, Object> from, String key) {
+        return from.get(key) instanceof List<?> l ? l : List.of();
+    }
+
+    /** Nested settings as the paths and values that the simulator's wire has: one reader serves both. */
+    private static void flatten(String path, Object value, Map<String, String> out) {
+        if (value instanceof Map<?, ?> map) {
+            String prefix = path.isEmpty() ? "" : path + ".";
+            map.forEach((k, v) -> flatten(prefix + k, v, out));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(v -> v instanceof Map)) {
+            out.put(path + ".count", Integer.toString(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                flatten(path + "." + i, list.get(i), out);
+            }
+        } else if (value instanceof List<?> list) {
+            out.put(path, String.join(",", list.stream().map(String::valueOf).toList()));
+        } else if (value != null) {
+            out.put(path, value.toString());
+        }
+    }
+
+    static String shown(String text) {
+        String line = text.replaceAll("\\p{Cntrl}", "?");
+        return line.length() <= 80 ? line : line.substring(0, 80) + "...";
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -0,0 +1,287 @@
+package holdproxy.net;
+
+import holdproxy.BadInput;
+import holdproxy.Router;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The list of cache nodes: a watch or one whole list when the module asks, which also decides when to ask
+ * again after a failure. A list that does not parse changes nothing and ends the call as failed, since the
+ * changes after it would not fit what we hold.
+ */
+final class Discovery {
+    private static final String PATH = "/registry/instances";
+    private static final int LONGEST_LINE = 1 << 20;
+    /** An empty line comes every 2 s; a cut-off machine says nothing at all. */
+    private static final int SILENCE_MS = 6000;
+    private static final int CONNECT_MS = 2000;
+
+    /** An entry of a list with the address and name that the module does not need. */
+    record Entry(Router.Node node, String name, InetSocketAddress address) {
+    }
+
+    private final Proxy proxy;
+    private final Config config;
+    private final EventLoop loop;
+    private final Log log;
+    private final Map<String, Integer> numbers = new HashMap<>();
+    private final Map<Integer, String> names = new HashMap<>();
+    private long version;
+    private Call watch;
+
+    Discovery(Proxy proxy, Config config, EventLoop loop, Log log) {
+        this.proxy = proxy;
+        this.config = config;
+        this.loop = loop;
+        this.log = log;
+    }
+
+    /** The list that the configuration holds. */
+    void start() {
+        List<Entry> entries = entries(config.known);
+        version = version(config.known);
+        proxy.nodes(Router.ListKind.CACHED, entries);
+    }
+
+    void watch() {
+        if (watch != null) {
+            watch.silently(); // one watch is enough: each call costs list lines
+        }
+        watch = new Call(PATH + "?stream=1&index=" + version, true);
+    }
+
+    void fetch() {
+        new Call(PATH, false);
+    }
+
+    private static long version(Map<String, Object> list) {
+        if (list.get("version") instanceof Number n) {
+            return n.longValue();
+        }
+        throw new BadInput("version is missing from the list");
+    }
+
+    private List<Entry> entries(Map<String, Object> list) {
+        if (!(list.get("servers") instanceof List<?> servers)) {
+            throw new BadInput("servers is missing from the list");
+        }
+        List<Entry> entries = new ArrayList<>(servers.size());
+        for (Object o : servers) {
+            if (!(o instanceof Map<?, ?>)) {
+                throw new BadInput("a list entry is no object");
+            }
+            @SuppressWarnings("unchecked") // the parser makes no other maps than these
+            Map<String, Object> m = (Map<String, Object>) o;
+            entries.add(entry(m));
+        }
+        return entries;
+    }
+
+    private Entry entry(Map<String, Object> m) {
+        String where = "a list entry";
+        String id = Config.text(m, "id", where);
+        Router.Node n = new Router.Node();
+        n.state = switch (Config.text(m, "state", where)) {
+            case "SERVING" -> Router.NodeState.READY;
+            case "DRAINING" -> Router.NodeState.DRAINING;
+            case "DELETED" -> Router.NodeState.GONE;
+            default -> throw new BadInput("a list entry has an unknown state");
+        };
+        n.id = number(id);
+        n.zone = config.zones.indexOf(m.get("zone"));
+        n.kind = config.kinds.indexOf(m.get("kind"));
+        n.cell = (int) figure(m, "cell", 0);
+        n.weight = figure(m, "weight", 1);
+        double started = figure(m, "started_ms", 0);
+        n.startedUs = started > 0 ? proxy.monotonic((long) started) : Long.MIN_VALUE;
+        InetSocketAddress address = n.state == Router.NodeState.GONE && !(m.get("addr") instanceof String)
+            ? null : Config.address(Config.text(m, "addr", where), "addr in a list entry");
+        return new Entry(n, id, address);
+    }
+
+    private static double figure(Map<String, Object> m, String key, double fallback) {
+        Object o = m.get(key);
+        if (o == null) {
+            return fallback;
+        }
+        if (o instanceof Number n && n.doubleValue() >= 0 && n.doubleValue() < 1e15) {
+            return n.doubleValue();
+        }
+        throw new BadInput(key + " in a list entry is no number");
+    }
+
+    /** The module's number for a node: from its id alone, so that all proxies rank the nodes alike. */
+    private int number(String id) {
+        Integer known = numbers.get(id);
+        if (known != null) {
+            return known;
+        }
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < id.length(); i++) {
+            h = (h ^ id.charAt(i)) * 0x100000001b3L;
+        }
+        int number = (int) (h ^ h >>> 32);
+        while (names.containsKey(number)) {
+            number++;
+        }
+        numbers.put(id, number);
+        names.put(number, id);
+        return number;
+    }
+
+    /** The node is gone for good; ids are new with each machine and would pile up. */
+    void forget(int number) {
+        numbers.remove(names.remove(number));
+    }
+
+    /** One request to discovery: a watch or a single list. */
+    private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+        private final boolean stream;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private Channel channel;
+        private boolean over;
+
+        Call(String path, boolean stream) {
+            this.stream = stream;
+            Call call = this;
+            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        channel = ch;
+                        ch.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
+                            new HttpClientCodec(), call);
+                    }
+                })
+                .connect(config.discovery).addListener((ChannelFutureListener) f -> {
+                    if (f.isSuccess()) {
+                        DefaultFullHttpRequest get =
+                            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+                        get.headers().set(HttpHeaderNames.HOST,
+                            config.discovery.getAddress().getHostAddress() + ":" + config.discovery.getPort());
+                        f.channel().writeAndFlush(get);
+                    } else {
+                        failed("no connection");
+                    }
+                });
+        }
+
+        void silently() {
+            over = true;
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        private void failed(String why) {
+            if (over) {
+                return;
+            }
+            silently();
+            if (watch == this) {
+                watch = null;
+            }
+            log.line("discovery: " + why);
+            proxy.nodes(Router.ListKind.FAILED, List.of());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (over) {
+                return;
+            }
+            if (message.decoderResult().isFailure()) {
+                failed("an answer that is no HTTP");
+                return;
+            }
+            if (message instanceof HttpResponse r && r.status().code() != 200) {
+                failed("answer " + r.status().code());
+                return;
+            }
+            if (message instanceof HttpContent c) {
+                content(c.content());
+                if (c instanceof LastHttpContent && !over) {
+                    list();
+                    if (stream) {
+                        failed("the watch has ended");
+                    } else {
+                        silently();
+                    }
+                }
+            }
+        }
+
+        private void content(ByteBuf bytes) {
+            while (bytes.isReadable() && !over) {
+                byte b = bytes.readByte();
+                if (b == '\n' && stream) {
+                    list();
+                } else {
+                    line.write(b);
+                    if (line.size() > LONGEST_LINE) {
+                        failed("a list too long");
+                    }
+                }
+            }
+        }
+
+        private void list() {
+            String text = line.toString(StandardCharsets.UTF_8).strip();
+            line.reset();
+            if (text.isEmpty()) {
+                return;
+            }
+            Map<String, Object> list = Config.parse(text);
+            try {
+                if (list == null) {
+                    throw new BadInput("not JSON: " + Config.shown(text));
+                }
+                List<Entry> entries = entries(list);
+                long newVersion = version(list);
+                boolean full = Boolean.TRUE.equals(list.get("full"));
+                version = newVersion;
+                proxy.nodes(full ? Router.ListKind.FULL : Router.ListKind.DELTA, entries);
+            } catch (BadInput e) {
+                failed("a list is skipped: " + e.getMessage());
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            failed("the connection has ended");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            failed(cause.getClass().getSimpleName());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/net/MetaDecoder.java
@@ -0,0 +1,86 @@
+package holdproxy.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Lines, each perhaps with a block of bytes after it: the framing of the memcache text protocol. */
+abstract class MetaDecoder extends ByteToMessageDecoder {
+    static final int LONGEST_LINE = 2048;
+    static final int LARGEST_VALUE = 64 * 1024;
+    static final int NO_BLOCK = -1;
+
+    private int block = NO_BLOCK;
+    private boolean lost;
+
+    /** A line without its end; returns the length of the block that follows, or {@link #NO_BLOCK}. */
+    abstract int line(String line, List<Object> out);
+
+    abstract void block(byte[] value, List<Object> out);
+
+    /** The peer no longer keeps to the framing: what it sends from here on is thrown away. */
+    abstract void broken(String why, List<Object> out);
+
+    @Override
+    protected final void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (lost) {
+            in.skipBytes(in.readableBytes());
+        } else if (block != NO_BLOCK) {
+            decodeBlock(in, out);
+        } else {
+            decodeLine(in, out);
+        }
+    }
+
+    private void decodeBlock(ByteBuf in, List<Object> out) {
+        if (in.readableBytes() < block + 2) {
+            return;
+        }
+        byte[] value = new byte[block];
+        in.readBytes(value);
+        block = NO_BLOCK;
+        if (in.readByte() != '\r' || in.readByte() != '\n') {
+            lose("bad data chunk", out);
+            return;
+        }
+        block(value, out);
+    }
+
+    private void decodeLine(ByteBuf in, List<Object> out) {
+        int end = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
+        int length = (end < 0 ? in.writerIndex() : end) - in.readerIndex();
+        if (length > LONGEST_LINE) {
+            lose("line too long", out); // or memory would grow with what a peer likes to send
+        } else if (end >= 0) {
+            String line = in.readString(length, StandardCharsets.ISO_8859_1);
+            in.skipBytes(1);
+            block = line(line.endsWith("\r") ? line.substring(0, length - 1) : line, out);
+            if (block > LARGEST_VALUE) {
+                lose("object too large", out);
+            } else if (block != NO_BLOCK && block < 0) {
+                lose("bad data length", out);
+            }
+        }
+    }
+
+    private void lose(String why, List<Object> out) {
+        lost = true;
+        block = NO_BLOCK;
+        broken(why, out);
+    }
+
+    /** A decimal number of at most nine digits, or a negative one where it is none. */
+    static int number(String text) {
+        if (text.isEmpty() || text.length() > 9) {
+            return -2;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                return -2;
+            }
+        }
+        return Integer.parseInt(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -0,0 +1,101 @@
+package holdproxy.net;
+
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** This proxy's connections to one cache node. */
+final class NodePool {
+    final NodePools pools;
+    final String name;
+    InetSocketAddress address;
+    private final List<NodeConnection> all = new ArrayList<>();
+    /** Newest last: the newest is used first, so that what is not needed grows old and is closed. */
+    private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
+    private final Map<NodeConnection, Future<?>> idleTimers = new HashMap<>();
+
+    NodePool(NodePools pools, String name, InetSocketAddress address) {
+        this.pools = pools;
+        this.name = name;
+        this.address = address;
+    }
+
+    void send(Attempt a) {
+        NodeConnection c = pick();
+        if (c == null) {
+            c = pools.open(this);
+        }
+        if (c == null) {
+            pools.proxy.ended(a, a.broken(), null);
+            return;
+        }
+        c.add(a);
+    }
+
+    private NodeConnection pick() {
+        while (!idle.isEmpty()) {
+            NodeConnection c = idle.pollLast();
+            stopTimer(c);
+            if (c.usable()) {
+                return c;
+            }
+        }
+        NodeConnection best = null;
+        if (pools.streams > 1) {
+            for (NodeConnection c : all) {
+                if (c.usable() && c.load() < pools.streams && (best == null || c.load() < best.load())) {
+                    best = c;
+                }
+            }
+        }
+        return best;
+    }
+
+    void added(NodeConnection c) {
+        all.add(c);
+    }
+
+    void idle(NodeConnection c) {
+        idle.addLast(c);
+        // the node closes it at its own time; a request written then would end as a reset
+        idleTimers.put(c, pools.after(pools.idleUs, () -> c.close()));
+    }
+
+    private void stopTimer(NodeConnection c) {
+        Future<?> timer = idleTimers.remove(c);
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    void removed(NodeConnection c) {
+        if (all.remove(c)) {
+            idle.remove(c);
+            stopTimer(c);
+            pools.closed();
+        }
+    }
+
+    void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.peekFirst().close();
+        }
+    }
+
+    /** Closes the connection that has been idle longest; false where none is. */
+    boolean closeOldest() {
+        if (idle.isEmpty()) {
+            return false;
+        }
+        idle.peekFirst().close();
+        return true;
+    }
+
+    boolean unused() {
+        return all.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -0,0 +1,98 @@
+package holdproxy.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** All connections to cache nodes, by the module's number of the node, within one bound on descriptors. */
+final class NodePools {
+    private static final long IDLE_SHARE = 5;
+
+    final Proxy proxy;
+    final Log log;
+    final int streams;
+    final long idleUs;
+    private final int most;
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final Map<Integer, NodePool> byId = new HashMap<>();
+    private int open;
+
+    NodePools(Proxy proxy, Config config, EventLoop loop, Log log, int most) {
+        this.proxy = proxy;
+        this.log = log;
+        this.most = most;
+        this.loop = loop;
+        // an attempt given up on a shared connection goes on there; where no second copy may be out, none is shared
+        streams = config.settings.secondCopies ? config.settings.streamsPerConnection : 1;
+        idleUs = config.settings.idleCloseUs - config.settings.idleCloseUs / IDLE_SHARE;
+        // drains: what waits for a connection must not be written later than the grace after a change told meanwhile
+        long dialUs = config.settings.dialTimeoutUs > 0 ? config.settings.dialTimeoutUs : 1_000_000;
+        long grace = config.settings.drainGraceUs;
+        dialUs = grace > 0 ? Math.min(dialUs, grace / 2) : dialUs;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialUs / 1000));
+    }
+
+    /** The list names this node: it may be sent to, at this address. */
+    void put(int id, String name, InetSocketAddress address) {
+        NodePool pool = byId.get(id);
+        if (pool == null) {
+            byId.put(id, new NodePool(this, name, address));
+        } else if (!pool.address.equals(address)) {
+            pool.address = address;
+            pool.closeIdle();
+        }
+    }
+
+    /** The node has left the list, or takes nothing new. */
+    void leave(int id, boolean gone) {
+        NodePool pool = byId.get(id);
+        if (pool != null) {
+            pool.closeIdle();
+            if (gone) {
+                byId.remove(id);
+            }
+        }
+    }
+
+    NodePool get(int id) {
+        return byId.get(id);
+    }
+
+    Future<?> after(long us, Runnable task) {
+        return loop.schedule(task, us, TimeUnit.MICROSECONDS);
+    }
+
+    /** A new connection; null where no descriptor is left for it. */
+    NodeConnection open(NodePool pool) {
+        if (open >= most && byId.values().stream().noneMatch(NodePool::closeOldest)) {
+            log.line("no descriptor left for a connection to node " + pool.name);
+            return null;
+        }
+        open++;
+        NodeConnection c = new NodeConnection(pool);
+        pool.added(c);
+        bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new Answer.Decoder(), c);
+            }
+        }).connect(pool.address).addListener((ChannelFutureListener) c::dialed);
+        return c;
+    }
+
+    void closed() {
+        open--;
+    }
+}
--- /dev/null
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -0,0 +1,454 @@
+package holdproxy.net;
+
+import holdproxy.Choice;
+import holdproxy.Router;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import holdproxy.BadInput;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The proxy on real sockets: turns what happens there into the module's events, and its actions into I/O. One
+ * thread, the event loop, runs all of it; nothing here is locked and nothing may block.
+ */
+public final class Proxy implements Router.Actions {
+    /** Descriptors for the program itself: libraries, selector, listener, discovery. */
+    private static final int OWN_DESCRIPTORS = 48;
+    private static final long MOST_HELD_BYTES = 16L << 20;
+    private static final int MOST_OPEN = 4096;
+    private static final long DEFAULT_ADVICE_US = 500_000;
+    /** The client's clock started when it sent: what an answer needs to be with it in time. */
+    private static final long TRANSIT_US = 5_000;
+    /** A request that the module has left unanswered for so long after it was due is failed here. */
+    private static final long OVERDUE_US = 15_000;
+    /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
+    private static final long DRAIN_OPEN_MS = 500;
+    private static final long DRAIN_MOST_MS = 3_600;
+    private static final int BACKLOG = 512;
+
+    private final Config config;
+    private final Log log = new Log();
+    private final EventLoop loop;
+    private final long origin = System.nanoTime();
+    private final long unixAtOriginUs;
+    private final Command.Names names;
+    private final NodePools pools;
+    private final Discovery discovery;
+    private final Router router;
+    private final Map<Long, Exchange> table = new HashMap<>();
+    private final Set<ClientSession> sessions = new HashSet<>();
+    /** Idle connections, longest first. */
+    private final Set<ClientSession> idle = new LinkedHashSet<>();
+    private final int mostSessions;
+    private final Router.Request request = new Router.Request();
+    private final Router.Report report = new Router.Report();
+    private final Set<Integer> listed = new HashSet<>();
+    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private boolean inEvent;
+    private long nextId = 1;
+    private long heldBytes;
+    private Channel listener;
+    private boolean draining;
+
+    private Proxy(Config config, EventLoop loop) {
+        this.config = config;
+        this.loop = loop;
+        unixAtOriginUs = System.currentTimeMillis() * 1000;
+        int left = config.sockets - OWN_DESCRIPTORS;
+        mostSessions = left / 2;
+        names = new Command.Names(new HashMap<>(), new HashMap<>());
+        for (int i = 0; i < config.settings.classes.length; i++) {
+            names.classes().put(config.settings.classes[i].name, i);
+        }
+        for (int i = 0; i < config.settings.tenants.length; i++) {
+            names.tenants().put(config.settings.tenants[i].name, i);
+        }
+        pools = new NodePools(this, config, loop, log, left - mostSessions - 8);
+        discovery = new Discovery(this, config, loop, log);
+        router = new Choice(config.settings, config.seed, now(), this);
+    }
+
+    /** Runs a proxy until SIGTERM. */
+    public static void serve(Map<String, String> env) {
+        Config config = Config.load(env);
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Proxy proxy = start(config, loop);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            proxy.drain();
+            Runtime.getRuntime().halt(0);
+        }, "drain"));
+    }
+
+    static Proxy start(Config config, EventLoop loop) {
+        try {
+            Proxy proxy = loop.submit(() -> new Proxy(config, loop)).get();
+            loop.submit(proxy::begin).get();
+            ChannelFuture bound = proxy.listen().await();
+            if (!bound.isSuccess()) {
+                throw new BadInput("cannot listen on " + config.listen + ": " + bound.cause().getMessage());
+            }
+            return proxy;
+        } catch (java.util.concurrent.ExecutionException e) {
+            throw new BadInput("cannot start: " + e.getCause().getMessage());
+        } catch (InterruptedException e) {
+            throw new BadInput("interrupted");
+        }
+    }
+
+    private void begin() {
+        discovery.start();
+        if (!config.settings.askForNodes) {
+            discovery.watch();
+        }
+    }
+
+    private ChannelFuture listen() {
+        Proxy proxy = this;
+        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new Command.Decoder(names), new ClientSession(proxy));
+                }
+            })
+            .bind(config.listen);
+        listener = bound.channel();
+        return bound;
+    }
+
+    java.net.InetSocketAddress address() {
+        return (java.net.InetSocketAddress) listener.localAddress();
+    }
+
+    /** The module's clock: microseconds, never going back. */
+    long now() {
+        return (System.nanoTime() - origin) / 1000;
+    }
+
+    /** A Unix time on the module's clock; from one reading, so that the same start is the same number later. */
+    long monotonic(long unixMs) {
+        return unixMs * 1000 - unixAtOriginUs;
+    }
+
+    /** The module's calls do not nest: what its actions bring about at once is delivered after its return. */
+    private void event(Runnable call) {
+        events.add(call);
+        if (inEvent) {
+            return;
+        }
+        inEvent = true;
+        for (Runnable next = events.poll(); next != null; next = events.poll()) {
+            try {
+                next.run();
+            } catch (RuntimeException e) {
+                StackTraceElement[] trace = e.getStackTrace();
+                log.line("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+            }
+        }
+        inEvent = false;
+    }
+
+    // ---- client connections ----
+
+    void opened(ClientSession s) {
+        sessions.add(s);
+        idle.add(s);
+        if (sessions.size() > mostSessions && !idle.isEmpty()) {
+            idle.iterator().next().close(); // between requests a connection may be closed
+        }
+    }
+
+    void busy(ClientSession s) {
+        idle.remove(s);
+    }
+
+    void idle(ClientSession s) {
+        idle.add(s);
+        if (draining && listener == null) {
+            idle.remove(s);
+            s.close();
+        }
+    }
+
+    void closed(ClientSession s) {
+        sessions.remove(s);
+        idle.remove(s);
+        finishDrain();
+    }
+
+    // ---- requests ----
+
+    Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
+        if (table.size() >= Math.min(MOST_OPEN, config.settings.maxOpen)
+                || heldBytes + c.valueBytes() > MOST_HELD_BYTES) {
+            log.line("too much is open: refusing");
+            session.answer(slot, busy(DEFAULT_ADVICE_US)); // it was sent nowhere
+            return null;
+        }
+        long now = now();
+        long waitUs = c.waitMs > 0 ? c.waitMs * 1000L : config.settings.classes[c.requestClass].deadlineUs;
+        Exchange x = new Exchange(nextId++, c, session, slot, now + Math.max(waitUs / 2, waitUs - TRANSIT_US));
+        table.put(x.id, x);
+        heldBytes += c.valueBytes();
+        x.overdue = loop.schedule(() -> overdue(x), x.dueUs + OVERDUE_US - now, TimeUnit.MICROSECONDS);
+        event(() -> {
+            c.fill(request);
+            request.id = x.id;
+            request.dueUs = x.dueUs;
+            router.onRequest(now(), request, this);
+        });
+        return x;
+    }
+
+    private void overdue(Exchange x) {
+        if (!x.answered) {
+            log.line("a request was left unanswered: failed");
+            answerFailed(x);
+            event(() -> router.onAborted(now(), x.id, this));
+        }
+    }
+
+    void clientGone(Exchange x) {
+        if (!x.answered) {
+            concluded(x);
+            event(() -> router.onAborted(now(), x.id, this));
+        }
+    }
+
+    private void concluded(Exchange x) {
+        x.answered = true;
+        x.overdue.cancel(false);
+        settle(x);
+    }
+
+    private void settle(Exchange x) {
+        if (x.answered && x.out == 0 && table.remove(x.id) != null) {
+            heldBytes -= x.command.valueBytes();
+        }
+    }
+
+    private String busy(long adviceUs) {
+        return adviceUs > 0 ? "SERVER_ERROR busy " + Math.max(1, adviceUs / 1000) : "SERVER_ERROR busy";
+    }
+
+    private void answerFailed(Exchange x) {
+        concluded(x);
+        x.session.answer(x.slot, "SERVER_ERROR failed");
+    }
+
+    /** An attempt has ended: told to the module, which has given the request its answer by then if it was served. */
+    void ended(Attempt a, Router.Outcome outcome, Answer answer) {
+        Exchange x = a.exchange;
+        a.over = true;
+        a.timer.cancel(false);
+        x.out--;
+        if (outcome == Router.Outcome.OK && !x.answered) {
+            concluded(x);
+            x.session.answer(x.slot, answer.encode(ByteBufAllocator.DEFAULT));
+        }
+        settle(x);
+        long now = now();
+        event(() -> {
+            if (answer != null) {
+                answer.report(report);
+            } else {
+                report.clear();
+            }
+            router.onOutcome(now(), x.id, a.number, outcome, now - a.sentUs, x.answered,
+                answer == null ? Router.CacheNote.NONE : answer.note, report, this);
+        });
+    }
+
+    private void giveUp(Attempt a, Router.Outcome outcome) {
+        if (!a.over) {
+            NodeConnection c = a.connection;
+            boolean written = a.written;
+            a.over = true;
+            if (c != null) {
+                c.giveUp(a);
+            }
+            // what was never written whole cannot run: the module may refuse it or send it elsewhere
+            ended(a, outcome == Router.Outcome.TIMEOUT && !written ? Router.Outcome.CONNECT_FAILED : outcome, null);
+        }
+    }
+
+    // ---- the node list ----
+
+    void nodes(Router.ListKind kind, List<Discovery.Entry> entries) {
+        Router.Node[] nodes = new Router.Node[entries.size()];
+        Set<Integer> named = new HashSet<>();
+        for (int i = 0; i < nodes.length; i++) {
+            Discovery.Entry e = entries.get(i);
+            nodes[i] = e.node();
+            named.add(e.node().id);
+            if (e.node().state != Router.NodeState.GONE) {
+                pools.put(e.node().id, e.name(), e.address());
+                listed.add(e.node().id);
+            }
+        }
+        event(() -> router.onNodes(now(), kind, nodes, nodes.length, this));
+        for (Router.Node n : nodes) {
+            if (n.state != Router.NodeState.READY) {
+                left(n.id, n.state == Router.NodeState.GONE);
+            }
+        }
+        if (kind == Router.ListKind.FULL || kind == Router.ListKind.CACHED) {
+            for (Integer id : List.copyOf(listed)) {
+                if (!named.contains(id)) {
+                    left(id, true);
+                }
+            }
+        }
+    }
+
+    private void left(int id, boolean gone) {
+        pools.leave(id, gone);
+        if (gone && listed.remove(id)) {
+            discovery.forget(id);
+        }
+    }
+
+    // ---- the module's actions ----
+
+    @Override
+    public void send(long id, int node, long timeoutUs) {
+        Exchange x = table.get(id);
+        NodePool pool = pools.get(node);
+        if (x == null) {
+            throw new IllegalStateException("attempt for an unknown request");
+        }
+        long now = now();
+        long left = x.dueUs - now;
+        long wait = timeoutUs != 0 ? Math.min(timeoutUs, left) : left;
+        Attempt a = new Attempt(x, x.attempts.size(), now, wait);
+        x.attempts.add(a);
+        x.out++;
+        a.timer = loop.schedule(() -> giveUp(a, Router.Outcome.TIMEOUT), Math.max(0, wait), TimeUnit.MICROSECONDS);
+        if (x.answered || wait <= 0 || pool == null || a.number >= config.settings.maxAttempts) {
+            ended(a, Router.Outcome.NOT_SENT, null);
+        } else {
+            pool.send(a);
+        }
+    }
+
+    @Override
+    public void refuse(long id, long retryAfterUs) {
+        Exchange x = table.get(id);
+        if (x != null && !x.answered) {
+            concluded(x);
+            x.session.answer(x.slot, busy(retryAfterUs));
+        }
+    }
+
+    @Override
+    public void fail(long id) {
+        Exchange x = table.get(id);
+        if (x != null && !x.answered) {
+            answerFailed(x);
+        }
+    }
+
+    @Override
+    public void cancel(long id, int attempt) {
+        Exchange x = table.get(id);
+        if (x != null && attempt < x.attempts.size()) {
+            giveUp(x.attempts.get(attempt), Router.Outcome.CANCELLED);
+        }
+    }
+
+    @Override
+    public void timer(long delayUs, long label) {
+        loop.schedule(() -> event(() -> router.onTimer(now(), label, this)), Math.max(0, delayUs),
+            TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void probe(int node) {
+        // the module asks for none; one that does is told that none was sent
+        event(() -> {
+            report.clear();
+            router.onProbe(now(), node, Router.Outcome.NOT_SENT, 0, report, this);
+        });
+    }
+
+    @Override
+    public void closeIdle(int node) {
+        NodePool pool = pools.get(node);
+        if (pool != null) {
+            pool.closeIdle();
+        }
+    }
+
+    @Override
+    public void subscribe() {
+        discovery.watch();
+    }
+
+    @Override
+    public void fetchNodes() {
+        discovery.fetch();
+    }
+
+    @Override
+    public void tell(int router, byte[] data) {
+        log.line("no message is sent to other proxies: the settings do not provide for it");
+    }
+
+    @Override
+    public void log(String line) {
+        log.line(line);
+    }
+
+    // ---- the end ----
+
+    /** SIGTERM: serves on while new connections still come, then ends each connection after its answers. */
+    void drain() {
+        loop.execute(() -> {
+            draining = true;
+            log.line("ending: " + table.size() + " requests open");
+            loop.schedule(this::stopListening, DRAIN_OPEN_MS, TimeUnit.MILLISECONDS);
+        });
+        try {
+            if (!drained.await(DRAIN_MOST_MS, TimeUnit.MILLISECONDS)) {
+                log.line("ending with requests open");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void stopListening() {
+        listener.close();
+        listener = null;
+        for (ClientSession s : List.copyOf(sessions)) {
+            s.close();
+        }
+        finishDrain();
+    }
+
+    private void finishDrain() {
+        if (draining && listener == null && sessions.isEmpty()) {
+            drained.countDown();
+        }
+    }
+}
