Keep the limits test green with the proxy's folder

It now walks all sources, and the lines that it then found too long are broken. Comments no longer name a page that does not exist.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -6,7 +6,7 @@
 
 /**
  * Every decision of holdproxy: stochastic fair BLUE per proxy after "FAIR: Allocating Resources Fairly at
- * Scale" (M. Sathe), with two hashed candidates per key. docs/design.md says what departs from it and when.
+ * Scale" (M. Sathe), with two hashed candidates per key. The comments name what departs from it and when.
  */
 public final class Choice implements Router {
     // FAIR: levels x buckets. Two tenants share all buckets with chance 64^-3; two tables are 5 KB a proxy.
--- a/src/main/java/holdproxy/net/Answer.java
+++ b/src/main/java/holdproxy/net/Answer.java
@@ -32,7 +32,8 @@
             int eq = field.indexOf('=');
             if (eq > 0) {
                 try {
-                    SettingsText.report(field.substring(0, eq), Double.parseDouble(field.substring(eq + 1)), report);
+                    double value = Double.parseDouble(field.substring(eq + 1));
+                    SettingsText.report(field.substring(0, eq), value, report);
                 } catch (NumberFormatException e) {
                     // a figure that is none tells nothing
                 }
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -69,7 +69,8 @@
 
     /** Bounded memory: a client that asks without end or does not read its answers is not read from. */
     private void throttle() {
-        channel.config().setAutoRead(unread || !closing && slots.size() < MOST_WAITING && channel.isWritable());
+        boolean room = !closing && slots.size() < MOST_WAITING && channel.isWritable();
+        channel.config().setAutoRead(unread || room);
     }
 
     @Override
--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** One {@code mg} or {@code ms} of a client: what the module is told of it, and its bytes for a cache node. */
+/** One {@code mg} or {@code ms} of a client: what the module is told of it, and its bytes for a node. */
 final class Command {
     private static final byte[] CRLF = {'\r', '\n'};
     private static final int LONGEST_KEY = 250;
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.NetUtil;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -186,7 +187,7 @@
                         DefaultFullHttpRequest get =
                             new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
                         get.headers().set(HttpHeaderNames.HOST,
-                            config.discovery.getAddress().getHostAddress() + ":" + config.discovery.getPort());
+                            NetUtil.toSocketAddressString(config.discovery));
                         f.channel().writeAndFlush(get);
                     } else {
                         failed("no connection");
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -14,7 +14,7 @@
     private Channel channel;
     private boolean up;
     private boolean closed;
-    /** One of its attempts was given up: nothing new goes on it, since its answers would wait for that one. */
+    /** An attempt on it was given up: what went on it now would wait behind that one's answer. */
     private boolean retired;
 
     NodeConnection(NodePool pool) {
@@ -63,9 +63,9 @@
     }
 
     /**
-     * The wait for an attempt is over. With no other live attempt behind it the connection is closed, which
-     * tells the node. Otherwise it takes nothing new, and the late answer is read and thrown away in its turn:
-     * taking it for the next attempt's would serve a client another's value.
+     * The wait for an attempt is over. With no other live attempt in line the connection is closed, which
+     * tells the node. Otherwise it takes nothing new, and the late answer is read and thrown away in its
+     * turn: taken for the next attempt's it would serve a client another's value.
      */
     void giveUp(Attempt a) {
         a.over = true;
@@ -85,9 +85,7 @@
             close(); // an answer to nothing
             return;
         }
-        boolean wrong = answer.outcome == Router.Outcome.OK
-            && (!a.exchange.command.opaque.equals(answer.opaque) || a.exchange.command.write == (answer.value != null));
-        if (answer.broken || wrong || !a.written) {
+        if (answer.broken || !a.written || answer.outcome == Router.Outcome.OK && !fits(answer, a)) {
             pool.pools.log.line("node " + pool.name + " broke the protocol"
                 + (answer.broken ? ": " + Config.shown(answer.receipt) : ""));
             line.poll();
@@ -107,6 +105,12 @@
         }
     }
 
+    /** Whether an answer is of the kind and bears the id of the attempt that is due one. */
+    private static boolean fits(Answer answer, Attempt a) {
+        Command c = a.exchange.command;
+        return c.opaque.equals(answer.opaque) && c.write == (answer.value == null);
+    }
+
     private void end(Attempt a, Router.Outcome outcome, Answer answer) {
         if (!a.over) {
             a.over = true;
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -32,10 +32,10 @@
         this.log = log;
         this.most = most;
         this.loop = loop;
-        // an attempt given up on a shared connection goes on there; where no second copy may be out, none is shared
+        // an attempt given up on a shared connection stays out: where no second copy may be, none is shared
         streams = config.settings.secondCopies ? config.settings.streamsPerConnection : 1;
         idleUs = config.settings.idleCloseUs - config.settings.idleCloseUs / IDLE_SHARE;
-        // drains: what waits for a connection must not be written later than the grace after a change told meanwhile
+        // drains: what waits for a connection must be written within the grace of a change told meanwhile
         long dialUs = config.settings.dialTimeoutUs > 0 ? config.settings.dialTimeoutUs : 1_000_000;
         long grace = config.settings.drainGraceUs;
         dialUs = grace > 0 ? Math.min(dialUs, grace / 2) : dialUs;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -145,7 +145,7 @@
         return (System.nanoTime() - origin) / 1000;
     }
 
-    /** A Unix time on the module's clock; from one reading, so that the same start is the same number later. */
+    /** A Unix time on the module's clock; from one reading, so that a start stays the same number. */
     long monotonic(long unixMs) {
         return unixMs * 1000 - unixAtOriginUs;
     }
@@ -207,7 +207,8 @@
         }
         long now = now();
         long waitUs = c.waitMs > 0 ? c.waitMs * 1000L : config.settings.classes[c.requestClass].deadlineUs;
-        Exchange x = new Exchange(nextId++, c, session, slot, now + Math.max(waitUs / 2, waitUs - TRANSIT_US));
+        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US);
+        Exchange x = new Exchange(nextId++, c, session, slot, dueUs);
         table.put(x.id, x);
         heldBytes += c.valueBytes();
         x.overdue = loop.schedule(() -> overdue(x), x.dueUs + OVERDUE_US - now, TimeUnit.MICROSECONDS);
@@ -256,7 +257,7 @@
         x.session.answer(x.slot, "SERVER_ERROR failed");
     }
 
-    /** An attempt has ended: told to the module, which has given the request its answer by then if it was served. */
+    /** An attempt has ended: a first success is the client's answer, and the module is told. */
     void ended(Attempt a, Router.Outcome outcome, Answer answer) {
         Exchange x = a.exchange;
         a.over = true;
@@ -288,7 +289,8 @@
                 c.giveUp(a);
             }
             // what was never written whole cannot run: the module may refuse it or send it elsewhere
-            ended(a, outcome == Router.Outcome.TIMEOUT && !written ? Router.Outcome.CONNECT_FAILED : outcome, null);
+            boolean neverRan = outcome == Router.Outcome.TIMEOUT && !written;
+            ended(a, neverRan ? Router.Outcome.CONNECT_FAILED : outcome, null);
         }
     }
 
@@ -343,7 +345,8 @@
         Attempt a = new Attempt(x, x.attempts.size(), now, wait);
         x.attempts.add(a);
         x.out++;
-        a.timer = loop.schedule(() -> giveUp(a, Router.Outcome.TIMEOUT), Math.max(0, wait), TimeUnit.MICROSECONDS);
+        a.timer = loop.schedule(() -> giveUp(a, Router.Outcome.TIMEOUT), Math.max(0, wait),
+            TimeUnit.MICROSECONDS);
         if (x.answered || wait <= 0 || pool == null || a.number >= config.settings.maxAttempts) {
             ended(a, Router.Outcome.NOT_SENT, null);
         } else {
--- a/src/test/java/holdproxy/MechanismTest.java
+++ b/src/test/java/holdproxy/MechanismTest.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** FAIR's parts, each alone, and the departures from it that docs/design.md names. */
+/** FAIR's parts, each alone, and the departures from it that the comments in Choice name. */
 class MechanismTest {
     private static final long MS = Fixture.MS;
     private static final long S = Fixture.S;
--- a/src/test/java/holdproxy/ModuleLimitsTest.java
+++ b/src/test/java/holdproxy/ModuleLimitsTest.java
@@ -22,8 +22,8 @@
 
     @Test
     void noSourceLineExceeds110Characters() throws IOException {
-        try (Stream<Path> files = Files.list(SOURCES)) {
-            List<String> tooLong = files.flatMap(f -> {
+        try (Stream<Path> files = Files.walk(SOURCES)) {
+            List<String> tooLong = files.filter(Files::isRegularFile).flatMap(f -> {
                 try {
                     return Files.readAllLines(f).stream().filter(l -> l.length() > 110).map(l -> f + ": " + l);
                 } catch (IOException e) {
