A request with d=0 has no time left, not the whole of its class's

A third probe logged how each request ended: one had d=0, was given its class's whole 1.5 s, and its client left. To blame: Command took 0 for a missing d, and Proxy.request filled it in. Mended: a missing d is its own value; d=0 is due at once, so the module refuses it. A longer d than the class's deadline is cut to that.

--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -18,11 +18,15 @@
     final int requestClass;
     final int tenant;
     final long key;
-    /** How long the client waits from its sending on, in milliseconds; 0: as long as the class has. */
+    /**
+     * How long the client waits from its sending on, in milliseconds. 0 is a time too, and has passed: read
+     * as none stated, it would hold the request for a client that leaves at once.
+     */
     final int waitMs;
     final double costUs;
     final double sizeBytes;
     final boolean repeat;
+    static final int NOT_STATED = -1;
     private final String beforeWait;
     private final String afterWait;
     private byte[] value;
@@ -62,7 +66,7 @@
         key = key(keyText);
         int type = -1;
         int who = names.tenants.isEmpty() ? 0 : -1;
-        int wait = 0;
+        int wait = NOT_STATED;
         double hint = 0;
         double size = 0;
         boolean again = false;
@@ -79,7 +83,7 @@
                 default -> { } // passed on unread
             }
         }
-        if (type < 0 || who < 0 || wait < 0) {
+        if (type < 0 || who < 0 || wait < NOT_STATED) {
             throw new Bad("c, t or d is not known here");
         }
         requestClass = type;
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -91,7 +91,7 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = start(config, loop);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            proxy.drain();
+            proxy.drain(DRAIN_OPEN_MS);
             Runtime.getRuntime().halt(0);
         }, "drain"));
     }
@@ -206,7 +206,9 @@
             return null;
         }
         long now = now();
-        long waitUs = c.waitMs > 0 ? c.waitMs * 1000L : config.settings.classes[c.requestClass].deadlineUs;
+        long classUs = config.settings.classes[c.requestClass].deadlineUs;
+        long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
+        waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
         long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US);
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs);
         table.put(x.id, x);
@@ -425,11 +427,11 @@
     // ---- the end ----
 
     /** SIGTERM: serves on while new connections still come, then ends each connection after its answers. */
-    void drain() {
+    void drain(long openMs) {
         loop.execute(() -> {
             draining = true;
             log.line("ending: " + table.size() + " requests open");
-            loop.schedule(this::stopListening, DRAIN_OPEN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
         });
         try {
             if (!drained.await(DRAIN_MOST_MS, TimeUnit.MILLISECONDS)) {
--- /dev/null
+++ b/src/test/java/holdproxy/net/Fixture.java
@@ -0,0 +1,119 @@
+package holdproxy.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** A proxy on an ephemeral loopback port, with scripted cache nodes and a scripted discovery. */
+final class Fixture implements Closeable {
+    static final String SETTINGS = """
+        {"index":0,"balancers":1,"az":0,"domainType":"cache","familyInfo":{"mode":"through","originKind":-1},
+         "caps":{"dialTimeoutMs":400.0,"idleCloseMs":30000.0,"maxAttempts":4,"maxRetryAfterMs":2000.0,
+          "mayCancel":true,"multiplex":1,"openCap":20000,"peers":false,"probing":true,"retryAfter":true,
+          "secondCopies":false},
+         "grades":[
+          {"name":"lookup","effect":"pure","group":"all","targetMs":750.0,"deadlineMs":5000.0,"lateWorth":0.5,
+           "repeatWindowMs":5000.0,"stream":false,"value":1.0},
+          {"name":"charge","effect":"side_effect","group":"all","targetMs":750.0,"deadlineMs":5000.0,
+           "lateWorth":0.5,"repeatWindowMs":5000.0,"stream":false,"value":1.0},
+          {"name":"submit","effect":"token","group":"all","targetMs":750.0,"deadlineMs":5000.0,
+           "lateWorth":0.5,"repeatWindowMs":5000.0,"stream":false,"value":1.0}],
+         "kinds":["full"],"localities":["east","west"],"registryMode":"subscribe",
+         "reporting":{"fields":["busy"],"source":"inline"},
+         "rules":{"askWithinMs":100.0,"coldFrom":0.17,"coldMs":24000.0,"drainGraceMs":1000.0,"fallMs":2000.0,
+          "graceToAnswerMs":20.0,"tipMultiple":4.0},
+         "tenants":[{"name":"acme","quotaPerS":50.0,"share":1.0}],"tickMs":5.0,"weights":"rough"}
+        """;
+
+    final Peer.Listener discovery = new Peer.Listener();
+    final List<Peer.Listener> nodes = new ArrayList<>();
+    final List<Peer> clients = new ArrayList<>();
+    final EventLoop loop;
+    final Proxy proxy;
+
+    Fixture(int nodeCount) throws IOException {
+        this(nodeCount, s -> s, 1024);
+    }
+
+    Fixture(int nodeCount, Function<String, String> change, int sockets) throws IOException {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < nodeCount; i++) {
+            nodes.add(new Peer.Listener());
+            entries.add(entry(i, "SERVING"));
+        }
+        Path file = Files.createTempFile("config", ".json");
+        Files.writeString(file, json(list(1, true, entries.toArray(String[]::new)), change.apply(SETTINGS), sockets));
+        loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        proxy = Proxy.start(Config.load(env(file, discovery.address())), loop);
+        Files.delete(file);
+    }
+
+    static Map<String, String> env(Path file, String discovery) {
+        return Map.of("LB_NAME", "n0", "LB_LISTEN", "127.0.0.1:0", "LB_DISCOVERY", discovery,
+            "LB_CONFIG", file.toString());
+    }
+
+    static String json(String known, String settings, int sockets) {
+        return "{\"name\":\"n0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":"
+            + known + ",\"settings\":" + settings + "}";
+    }
+
+    String entry(int node, String state) {
+        return "{\"id\":\"s-" + node + "\",\"addr\":\"" + nodes.get(node).address() + "\",\"zone\":\"east\","
+            + "\"kind\":\"full\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
+    }
+
+    static String list(int version, boolean full, String... entries) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", entries)
+            + "]}";
+    }
+
+    Peer client() throws IOException {
+        Peer p = Peer.to(proxy.address());
+        clients.add(p);
+        return p;
+    }
+
+    /** The watch that the module asked for, its request read and its answer begun. */
+    Peer watch() throws IOException, InterruptedException {
+        Peer p = discovery.next();
+        for (String line = p.line(); !line.isEmpty(); line = p.line()) {
+            // the request's lines
+        }
+        p.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        return p;
+    }
+
+    static void chunk(Peer watch, String line) throws IOException {
+        watch.send(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    static String read(String id, int waitMs) {
+        return "mg 7f3a9c21e0b4d655 v O" + id + " Pc=lookup,t=acme,d=" + waitMs + "\r\n";
+    }
+
+    static String write(String cls, String id, int waitMs) {
+        return "ms 7f3a9c21e0b4d655 5 O" + id + " Pc=" + cls + ",t=acme,d=" + waitMs + ",k=5c0f\r\nhello\r\n";
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Peer p : clients) {
+            p.close();
+        }
+        for (Peer.Listener n : nodes) {
+            n.close();
+        }
+        discovery.close();
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
