--- /dev/null
+++ b/src/test/java/holdproxy/net/ConfigTest.java
@@ -0,0 +1,85 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.BadInput;
+import holdproxy.Router;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the proxy is told at its start, and that anything missing or malformed ends it with one plain line. */
+class ConfigTest {
+    private static final String KNOWN = Fixture.list(41, true);
+
+    @TempDir
+    Path folder;
+
+    private Map<String, String> env(String json) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, json);
+        return new HashMap<>(Fixture.env(file, "127.0.0.1:8500"));
+    }
+
+    private String rejected(Map<String, String> env) {
+        String message = assertThrows(BadInput.class, () -> Config.load(env)).getMessage();
+        assertFalse(message.contains("\n"), message);
+        return message;
+    }
+
+    @Test
+    void readsTheSettingsAsTheSimulatorsWireHasThem() throws Exception {
+        Config c = Config.load(env(Fixture.json(KNOWN, Fixture.SETTINGS, 1024)));
+        assertEquals(0x8c1f30d27a5be964L, c.seed);
+        assertEquals(8500, c.discovery.getPort());
+        assertEquals(3, c.settings.classes.length);
+        assertEquals(Router.Effect.KEYED, c.settings.classes[2].effect);
+        assertEquals(5_000_000, c.settings.classes[2].repeatWindowUs);
+        assertEquals("acme", c.settings.tenants[0].name);
+        assertEquals(Router.ReportSource.ANSWERS, c.settings.reports);
+        assertTrue(c.settings.askForNodes);
+        assertEquals(List.of("east", "west"), c.zones);
+    }
+
+    @Test
+    void namesWhatIsMissingOrMalformed() throws Exception {
+        String good = Fixture.json(KNOWN, Fixture.SETTINGS, 1024);
+        for (String name : List.of("LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG")) {
+            Map<String, String> env = env(good);
+            env.remove(name);
+            assertTrue(rejected(env).contains(name));
+        }
+        Map<String, String> listen = env(good);
+        listen.put("LB_LISTEN", "localhost:11211");
+        assertTrue(rejected(listen).contains("LB_LISTEN"));
+        Map<String, String> file = env(good);
+        file.put("LB_CONFIG", folder.resolve("none").toString());
+        assertTrue(rejected(file).contains("LB_CONFIG"));
+        assertTrue(rejected(env("{\"name\":")).contains("JSON"));
+        assertTrue(rejected(env("[]")).contains("JSON"));
+        assertTrue(rejected(env(good.replace("\"settings\"", "\"sittings\""))).contains("settings"));
+        assertTrue(rejected(env(good.replace("8c1f30d27a5be964", "seed"))).contains("seed"));
+        assertTrue(rejected(env(good.replace("\"sockets\":1024", "\"sockets\":3"))).contains("sockets"));
+        assertTrue(rejected(env(good.replace("\"maxAttempts\":4", "\"maxAttempts\":\"x\""))).contains("maxAttempts"));
+    }
+
+    @Test
+    void theProgramEndsWithOneLineAndCode2() throws Exception {
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp", System.getProperty("java.class.path"), "holdproxy.Main", "serve");
+        b.environment().putAll(env(Fixture.json("{\"version\":1,\"servers\":[{}]}", Fixture.SETTINGS, 1024)));
+        Process p = b.start();
+        String err = new String(p.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(2, p.waitFor());
+        assertEquals(1, err.lines().count(), err);
+        assertTrue(err.contains("list entry"), err);
+    }
+}
