--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -27,6 +27,7 @@
     private Channel channel;
     private boolean unread;
     private boolean closing;
+    private boolean refusing;
     private boolean ending;
 
     ClientSession(Proxy proxy) {
@@ -47,6 +48,11 @@
         return slots.isEmpty();
     }
 
+    /** No place is left for this connection: its requests are refused, and it ends after the first. */
+    void refuse() {
+        refusing = true;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
         if (unread) {
@@ -55,7 +61,10 @@
         Slot slot = new Slot();
         slots.add(slot);
         proxy.busy(this);
-        if (message instanceof Command c) {
+        if (refusing && !(message instanceof Command.Fault)) {
+            closing = true;
+            answer(slot, proxy.busy());
+        } else if (message instanceof Command c) {
             slot.exchange = proxy.request(this, slot, c);
         } else if (message instanceof Command.Greeting) {
             answer(slot, "MN");
@@ -90,9 +99,16 @@
         }
         slot.answer = answer;
         slot.exchange = null;
+        proxy.untaken(answer.readableBytes());
+        if (proxy.tooMuchUntaken()) {
+            channel.close(); // clients that do not take their answers must not fill our memory with them
+            return;
+        }
         boolean any = false;
         while (!slots.isEmpty() && slots.peek().answer != null) {
-            channel.write(slots.poll().answer, channel.voidPromise());
+            ByteBuf next = slots.poll().answer;
+            int size = next.readableBytes();
+            channel.write(next).addListener(f -> proxy.untaken(-size));
             any = true;
         }
         if (any) {
@@ -108,6 +124,10 @@
         }
     }
 
+    void abort() {
+        channel.close();
+    }
+
     /** Ends the connection once what was read from it is answered; nothing more is read. */
     void close() {
         closing = true;
@@ -138,6 +158,7 @@
         proxy.closed(this);
         for (Slot s : slots) {
             if (s.answer != null) {
+                proxy.untaken(-s.answer.readableBytes());
                 s.answer.release();
             } else if (s.exchange != null) {
                 proxy.clientGone(s.exchange);
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -13,6 +13,8 @@
     final NodePools pools;
     final String name;
     InetSocketAddress address;
+    /** Its node takes nothing new: a connection that comes back from its last answer would only be held. */
+    private boolean left;
     private final List<NodeConnection> all = new ArrayList<>();
     /** Newest last: the newest is used first, so that what is not needed grows old and is closed. */
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
@@ -60,6 +62,10 @@
     }
 
     void idle(NodeConnection c) {
+        if (left) {
+            c.close();
+            return;
+        }
         idle.addLast(c);
         // the node closes it at its own time; a request written then would end as a reset
         idleTimers.put(c, pools.after(pools.idleUs, () -> c.close()));
@@ -80,6 +86,19 @@
         }
     }
 
+    void leave() {
+        left = true;
+        closeIdle();
+    }
+
+    void listed(InetSocketAddress now) {
+        left = false;
+        if (!address.equals(now)) {
+            address = now;
+            closeIdle();
+        }
+    }
+
     void closeIdle() {
         while (!idle.isEmpty()) {
             idle.peekFirst().close();
@@ -94,8 +113,4 @@
         idle.peekFirst().close();
         return true;
     }
-
-    boolean unused() {
-        return all.isEmpty();
-    }
 }
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -49,9 +49,8 @@
         NodePool pool = byId.get(id);
         if (pool == null) {
             byId.put(id, new NodePool(this, name, address));
-        } else if (!pool.address.equals(address)) {
-            pool.address = address;
-            pool.closeIdle();
+        } else {
+            pool.listed(address);
         }
     }
 
@@ -59,7 +58,7 @@
     void leave(int id, boolean gone) {
         NodePool pool = byId.get(id);
         if (pool != null) {
-            pool.closeIdle();
+            pool.leave();
             if (gone) {
                 byId.remove(id);
             }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -31,7 +31,10 @@
     /** Descriptors for the program itself: libraries, selector, listener, discovery. */
     private static final int OWN_DESCRIPTORS = 48;
     private static final long MOST_HELD_BYTES = 16L << 20;
+    private static final long MOST_UNTAKEN_BYTES = 12L << 20;
     private static final int MOST_OPEN = 4096;
+    /** Connections over the bound on clients that are still told so. */
+    private static final int MOST_REFUSING = 16;
     private static final long DEFAULT_ADVICE_US = 500_000;
     /** The client's clock started when it sent: what an answer needs to be with it in time. */
     private static final long TRANSIT_US = 5_000;
@@ -64,6 +67,7 @@
     private boolean inEvent;
     private long nextId = 1;
     private long heldBytes;
+    private long untakenBytes;
     private Channel listener;
     private boolean draining;
 
@@ -80,7 +84,7 @@
         for (int i = 0; i < config.settings.tenants.length; i++) {
             names.tenants().put(config.settings.tenants[i].name, i);
         }
-        pools = new NodePools(this, config, loop, log, left - mostSessions - 8);
+        pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING);
         discovery = new Discovery(this, config, loop, log);
         router = new Choice(config.settings, config.seed, now(), this);
     }
@@ -172,10 +176,20 @@
 
     void opened(ClientSession s) {
         sessions.add(s);
-        idle.add(s);
-        if (sessions.size() > mostSessions && !idle.isEmpty()) {
-            idle.iterator().next().close(); // between requests a connection may be closed
+        if (sessions.size() > mostSessions) {
+            // between requests a connection may be closed: the one that has been idle longest makes room
+            if (!idle.isEmpty()) {
+                ClientSession oldest = idle.iterator().next();
+                idle.remove(oldest);
+                oldest.close();
+            } else {
+                s.refuse();
+            }
+            if (sessions.size() > mostSessions + MOST_REFUSING) {
+                s.abort(); // descriptors: past the bound nothing could be opened, not even to a node
+            }
         }
+        idle.add(s);
     }
 
     void busy(ClientSession s) {
@@ -201,8 +215,7 @@
     Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
         if (table.size() >= Math.min(MOST_OPEN, config.settings.maxOpen)
                 || heldBytes + c.valueBytes() > MOST_HELD_BYTES) {
-            log.line("too much is open: refusing");
-            session.answer(slot, busy(DEFAULT_ADVICE_US)); // it was sent nowhere
+            session.answer(slot, busy());
             return null;
         }
         long now = now();
@@ -250,6 +263,20 @@
         }
     }
 
+    String busy() {
+        log.line("too much is open: refusing");
+        return busy(DEFAULT_ADVICE_US); // for what was sent nowhere
+    }
+
+    /** Bytes of answers that clients have not taken yet. */
+    void untaken(int change) {
+        untakenBytes += change;
+    }
+
+    boolean tooMuchUntaken() {
+        return untakenBytes > MOST_UNTAKEN_BYTES;
+    }
+
     private String busy(long adviceUs) {
         return adviceUs > 0 ? "SERVER_ERROR busy " + Math.max(1, adviceUs / 1000) : "SERVER_ERROR busy";
     }
--- a/src/test/java/holdproxy/net/DiscoveryTest.java
+++ b/src/test/java/holdproxy/net/DiscoveryTest.java
@@ -66,6 +66,7 @@
             serve(f, other, "a2", 1, null);
             idle.send("VA 1 Oa1\r\n1\r\n");
             client.expect("VA 1 Oa1", "1");
+            idle.expectEnd();
         }
     }
 
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -250,6 +250,24 @@
         }
     }
 
+    @Test
+    void overTheBoundWithEveryConnectionBusyANewOneIsToldSoAndEnds() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"multiplex\":1", "\"multiplex\":64")
+                .replace("\"secondCopies\":false", "\"secondCopies\":true"), 128)) { // 40 are for clients
+            for (int i = 0; i < 40; i++) {
+                f.client().send(Fixture.read("a" + i, 4900));
+            }
+            Peer node = f.nodes.get(0).next();
+            for (int i = 0; i < 40; i++) {
+                command(node, 4900);
+            }
+            Peer over = f.client();
+            over.send(Fixture.write("charge", "c1", 4000));
+            assertTrue(over.line().startsWith("SERVER_ERROR busy "));
+            over.expectEnd();
+        }
+    }
+
     @Test
     void atTheEndWhatWasTakenIsAnsweredAndConnectionsEndInOrder() throws Exception {
         try (Fixture f = new Fixture(1)) {
