Never write an attempt that was told as never run

Found by going through the dangers one by one: - On a shared connection that was still coming up, an attempt given up was told as not run, and written all the same once the connection stood: the client was told busy, and its unsafe request ran.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -291,7 +291,8 @@
             return false;
         }
         int first = Integer.numberOfTrailingZeros(r.mayHaveRun);
-        if (now - r.sentAt[first] >= c.repeatWindowUs - 2 * set.tickUs) {
+        // what is sent now may wait for a connection, and must still arrive within the window
+        if (now - r.sentAt[first] >= c.repeatWindowUs - 2 * set.tickUs - set.dialTimeoutUs) {
             return false;
         }
         Target ran = r.node[first];
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -40,8 +40,11 @@
 final class Discovery {
     private static final String PATH = "/registry/instances";
     private static final int LONGEST_LINE = 1 << 20;
-    /** An empty line comes every 2 s; a cut-off machine says nothing at all. */
-    private static final int SILENCE_MS = 6000;
+    /**
+     * An empty line comes every 2 s; a cut-off machine says nothing at all. Changes count as told 6 s after
+     * they were to be said, so a silent watch must be given up and asked for again within that time.
+     */
+    private static final int SILENCE_MS = 4000;
     private static final int CONNECT_MS = 2000;
 
     /** An entry of a list with the address and name that the module does not need. */
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -65,17 +65,25 @@
     /**
      * The wait for an attempt is over. With no other live attempt in line the connection is closed, which
      * tells the node. Otherwise it takes nothing new, and the late answer is read and thrown away in its
-     * turn: taken for the next attempt's it would serve a client another's value.
+     * turn: taken for the next attempt's it would serve a client another's value. Returns whether the attempt
+     * may run or have run. If not it may be sent elsewhere, so its bytes must not go out from here later.
      */
-    void giveUp(Attempt a) {
+    boolean giveUp(Attempt a) {
         a.over = true;
-        retired = true;
-        for (Attempt other : line) {
-            if (!other.over) {
-                return;
+        if (!up) {
+            line.remove(a);
+            if (line.isEmpty()) {
+                close();
             }
+            return false;
+        }
+        retired = true;
+        if (line.stream().anyMatch(other -> !other.over)) {
+            return true;
         }
+        boolean written = a.written;
         close();
+        return written;
     }
 
     @Override
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -1,5 +1,6 @@
 package holdproxy.net;
 
+import holdproxy.BadInput;
 import holdproxy.Choice;
 import holdproxy.Router;
 import io.netty.bootstrap.ServerBootstrap;
@@ -12,7 +13,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import holdproxy.BadInput;
+import java.net.BindException;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,6 +23,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -44,6 +47,8 @@
     private static final long DRAIN_OPEN_MS = 500;
     private static final long DRAIN_MOST_MS = 3_600;
     private static final int BACKLOG = 512;
+    private static final int BIND_TRIES = 30;
+    private static final int BIND_WAIT_MS = 100;
 
     private final Config config;
     private final Log log = new Log();
@@ -105,11 +110,16 @@
             Proxy proxy = loop.submit(() -> new Proxy(config, loop)).get();
             loop.submit(proxy::begin).get();
             ChannelFuture bound = proxy.listen().await();
+            for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
+                // after a restart the one before may hold the address a moment longer
+                Thread.sleep(BIND_WAIT_MS);
+                bound = proxy.listen().await();
+            }
             if (!bound.isSuccess()) {
                 throw new BadInput("cannot listen on " + config.listen + ": " + bound.cause().getMessage());
             }
             return proxy;
-        } catch (java.util.concurrent.ExecutionException e) {
+        } catch (ExecutionException e) {
             throw new BadInput("cannot start: " + e.getCause().getMessage());
         } catch (InterruptedException e) {
             throw new BadInput("interrupted");
@@ -140,8 +150,8 @@
         return bound;
     }
 
-    java.net.InetSocketAddress address() {
-        return (java.net.InetSocketAddress) listener.localAddress();
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
     }
 
     /** The module's clock: microseconds, never going back. */
@@ -265,7 +275,8 @@
 
     String busy() {
         log.line("too much is open: refusing");
-        return busy(DEFAULT_ADVICE_US); // for what was sent nowhere
+        Router.Settings s = config.settings;
+        return busy(s.retryAfter ? Math.min(DEFAULT_ADVICE_US, s.maxRetryAfterUs) : 0); // it was sent nowhere
     }
 
     /** Bytes of answers that clients have not taken yet. */
@@ -311,14 +322,8 @@
 
     private void giveUp(Attempt a, Router.Outcome outcome) {
         if (!a.over) {
-            NodeConnection c = a.connection;
-            boolean written = a.written;
-            a.over = true;
-            if (c != null) {
-                c.giveUp(a);
-            }
             // what was never written whole cannot run: the module may refuse it or send it elsewhere
-            boolean neverRan = outcome == Router.Outcome.TIMEOUT && !written;
+            boolean neverRan = !a.connection.giveUp(a) && outcome == Router.Outcome.TIMEOUT;
             ended(a, neverRan ? Router.Outcome.CONNECT_FAILED : outcome, null);
         }
     }
--- a/src/test/java/holdproxy/net/Peer.java
+++ b/src/test/java/holdproxy/net/Peer.java
@@ -133,4 +133,46 @@
             }
         }
     }
+
+    /** A listening socket whose queue is full: a further connection to it never comes up. */
+    static final class Deaf implements Closeable {
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> queued = new CopyOnWriteArrayList<>();
+
+        Deaf() throws IOException {
+            for (int i = 0; i < 16; i++) {
+                Socket s = new Socket();
+                queued.add(s);
+                try {
+                    s.connect(server.getLocalSocketAddress(), 300);
+                } catch (java.net.SocketTimeoutException e) {
+                    return;
+                }
+            }
+            throw new AssertionError("the queue does not fill");
+        }
+
+        /** Makes room, and takes the first connection that is not of those which filled the queue. */
+        Peer hear() throws IOException {
+            server.setSoTimeout(WAIT_MS);
+            while (true) {
+                Socket s = server.accept();
+                if (queued.stream().noneMatch(q -> q.getLocalPort() == s.getPort())) {
+                    return new Peer(s);
+                }
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket s : queued) {
+                s.close();
+            }
+            server.close();
+        }
+    }
 }
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -165,6 +165,46 @@
         }
     }
 
+    @Test
+    void anUnsafeRequestWhoseConnectionNeverComesUpIsRefusedAndNotWrittenLater() throws Exception {
+        try (Fixture f = new Fixture(1); Peer.Deaf deaf = new Peer.Deaf()) {
+            onlyNode(f, deaf);
+            Peer client = f.client();
+            client.send(Fixture.write("charge", "c1", 200));
+            assertTrue(client.line().startsWith("SERVER_ERROR busy "));
+        }
+    }
+
+    @Test
+    void anAttemptGivenUpBeforeItsConnectionIsUpIsNotWrittenWhenItComesUpForAnother() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"multiplex\":1", "\"multiplex\":4")
+                .replace("\"secondCopies\":false", "\"secondCopies\":true")
+                .replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":9000.0")
+                .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":18000.0"), 1024);
+                Peer.Deaf deaf = new Peer.Deaf()) {
+            onlyNode(f, deaf);
+            Peer client = f.client();
+            Peer patient = f.client();
+            client.send(Fixture.write("charge", "c1", 400));
+            patient.send(Fixture.write("charge", "c2", 4900));
+            assertTrue(client.line().startsWith("SERVER_ERROR busy ")); // which promises that it never ran
+            Peer node = deaf.hear();
+            assertEquals("ms 7f3a9c21e0b4d655 5 Oc2 Pc=charge,t=acme,d=,k=5c0f", command(node, 4900));
+            node.expect("hello");
+            node.send("HD Oc2 c2\r\n");
+            patient.expect("HD Oc2 c2");
+        }
+    }
+
+    /** Has the proxy told of a node in place of all others, and waits until it knows. */
+    private static void onlyNode(Fixture f, Peer.Deaf node) throws Exception {
+        Peer watch = f.watch();
+        String entry = f.entry(0, "SERVING").replace("s-0", "s-9").replace(f.nodes.get(0).address(), node.address());
+        Fixture.chunk(watch, Fixture.list(2, true, entry));
+        Fixture.chunk(watch, "{}"); // no list: it ends the watch, after the one before it was taken in
+        watch.expectEnd();
+    }
+
     @Test
     void aRequestNeverAnsweredFailsWhenItIsDueAndItsConnectionIsClosed() throws Exception {
         try (Fixture f = new Fixture(1)) {
