Count against a request the time that the loop stood still

Cause: the proxy counts a request's time from when it reads it. After a pause of the collector or the machine that may be long after it came, and it would be sent on and answered past its time. A tick every 20 ms tells for how long the loop stood still, and that is taken off. Test: a loop held for 0.5 s with a request of 0.3 s; before, it was sent to a node, now it is refused. Ruled out: time in the proxy (99% of requests reach their first attempt within 4.9 ms), start-up, descriptors, idle closes, refused connections and resets (none).

--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -46,6 +46,8 @@
     /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
     private static final long DRAIN_OPEN_MS = 500;
     private static final long DRAIN_MOST_MS = 3_600;
+    private static final long TICK_US = 20_000;
+    private static final long JUST_US = 5_000;
     private static final int BACKLOG = 512;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
@@ -71,6 +73,9 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private boolean inEvent;
     private long nextId = 1;
+    private long tickDueUs;
+    private long lastTickUs;
+    private long lastLateUs;
     private long heldBytes;
     private long untakenBytes;
     private Channel listener;
@@ -127,6 +132,7 @@
     }
 
     private void begin() {
+        tick();
         discovery.start();
         if (!config.settings.askForNodes) {
             discovery.watch();
@@ -154,6 +160,24 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    private void tick() {
+        long now = now();
+        lastLateUs = tickDueUs == 0 ? 0 : now - tickDueUs;
+        lastTickUs = now;
+        tickDueUs = now + TICK_US;
+        loop.schedule(this::tick, TICK_US, TimeUnit.MICROSECONDS);
+    }
+
+    /**
+     * For how long the loop stood still before this, as in a pause of the collector or of the machine: what is
+     * read now may have waited so long. Input is mostly read before timers run, and the tick is still overdue;
+     * where it ran first, it has just been late.
+     */
+    private long stoodStillUs(long now) {
+        long late = now - lastTickUs < JUST_US ? Math.max(lastLateUs, now - tickDueUs) : now - tickDueUs;
+        return late > TICK_US ? late : 0;
+    }
+
     /** The module's clock: microseconds, never going back. */
     long now() {
         return (System.nanoTime() - origin) / 1000;
@@ -232,11 +256,12 @@
         long classUs = config.settings.classes[c.requestClass].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
         waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
-        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US);
+        long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - stoodStillUs(now);
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs);
         table.put(x.id, x);
         heldBytes += c.valueBytes();
-        x.overdue = loop.schedule(() -> overdue(x), x.dueUs + OVERDUE_US - now, TimeUnit.MICROSECONDS);
+        x.overdue = loop.schedule(() -> overdue(x), Math.max(0, dueUs - now) + OVERDUE_US,
+            TimeUnit.MICROSECONDS);
         event(() -> {
             c.fill(request);
             request.id = x.id;
--- a/src/test/java/holdproxy/net/ServingTest.java
+++ b/src/test/java/holdproxy/net/ServingTest.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -229,6 +231,28 @@
         }
     }
 
+    @Test
+    void aRequestWhoseTimePassedWhileTheLoopStoodStillIsRefusedAndSentNowhere() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send("mn\r\n");
+            client.expect("MN");
+            CountDownLatch still = new CountDownLatch(1);
+            CompletableFuture<Long> until = new CompletableFuture<>();
+            f.loop.execute(() -> {
+                still.countDown();
+                for (long end = until.join(); System.nanoTime() < end;) {
+                    Thread.onSpinWait();
+                }
+            });
+            still.await();
+            client.send(Fixture.write("charge", "c1", 300));
+            until.complete(System.nanoTime() + 500_000_000L);
+            assertTrue(client.line().startsWith("SERVER_ERROR busy "));
+            assertEquals(0, f.nodes.get(0).count());
+        }
+    }
+
     @Test
     void aLateAnswerOnASharedConnectionIsNotTakenForTheNextOne() throws Exception {
         try (Fixture f = new Fixture(1, s -> s.replace("\"multiplex\":1", "\"multiplex\":4")
