--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -169,9 +169,9 @@
     }
 
     /**
-     * For how long the loop stood still before this, as in a pause of the collector or of the machine: what is
-     * read now may have waited so long. Input is mostly read before timers run, and the tick is still overdue;
-     * where it ran first, it has just been late.
+     * For how long the loop stood still before this, as in a pause of the collector or of the machine: what
+     * is read now may have waited so long. Input is mostly read before timers run, and then the tick is still
+     * overdue; where it ran first, it has just been late.
      */
     private long stoodStillUs(long now) {
         long late = now - lastTickUs < JUST_US ? Math.max(lastLateUs, now - tickDueUs) : now - tickDueUs;
