Test the margin of keyed resends

The mend of the window's margin had no test of its own. The new one fails without the time for a connection to come up in Choice.mayResend (checked by taking it out) and passes with it.

--- a/src/test/java/holdproxy/RulesTest.java
+++ b/src/test/java/holdproxy/RulesTest.java
@@ -79,6 +79,19 @@
         assertEquals(1, late.sent.size(), "its window of 2 s is as good as over");
     }
 
+    @Test
+    void aKeyedResendLeavesTimeForAConnectionToComeUpWithinTheWindow() {
+        for (boolean slow : new boolean[] {false, true}) {
+            Router.Settings s = Fixture.settings(Router.Effect.KEYED);
+            s.dialTimeoutUs = slow ? 250 * MS : 0;
+            Fixture f = new Fixture();
+            Choice p = f.choice(s, 1, Fixture.nodes(6));
+            p.onRequest(0, Fixture.request(1, 42, 10 * S), f);
+            f.outcome(p, 2 * S - 200 * MS, 1, 0, Router.Outcome.ERROR);
+            assertEquals(slow ? 1 : 2, f.sent.size());
+        }
+    }
+
     @Test
     void keyedByZoneStaysInTheZoneAndIsNeverRefusedOnceItMayHaveRun() {
         Router.Settings s = Fixture.settings(Router.Effect.KEYED);
