Take a new configuration on SIGHUP, and follow discovery to its address

Reload reads and checks the file on its own thread; a bad one is logged and the old kept. Discovery.move asks the new service for everything, keeps the held list and the old watch until it has spoken, and repeats a failed first call after 0.15 s and longer (the module's pause of 1 to 3 s would use up the 4 s after which changes count as told).

--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -29,11 +29,13 @@
     /** The list as last had, in discovery's form. */
     final Map<String, Object> known;
 
-    private Config(Map<String, String> env) {
+    private Config(Map<String, String> env, boolean again) {
         name = variable(env, "LB_NAME");
         listen = address(variable(env, "LB_LISTEN"), "LB_LISTEN");
-        discovery = address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
         Map<String, Object> json = read(variable(env, "LB_CONFIG"));
+        discovery = again && json.containsKey("discovery")
+                ? address(text(json, "discovery", "the configuration"), "discovery in the configuration")
+                : address(variable(env, "LB_DISCOVERY"), "LB_DISCOVERY");
         seed = seed(text(json, "seed", "the configuration"));
         Object limit = object(json, "limits", "the configuration").get("sockets");
         if (!(limit instanceof Number n) || n.intValue() < 128) {
@@ -55,7 +57,12 @@
     }
 
     static Config load(Map<String, String> env) {
-        return new Config(env);
+        return new Config(env, false);
+    }
+
+    /** The file read again while the proxy runs: now it tells where discovery is, not the variable. */
+    static Config reload(Map<String, String> env) {
+        return new Config(env, true);
     }
 
     private static String variable(Map<String, String> env, String name) {
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.NetUtil;
+import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -30,6 +31,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -46,6 +48,13 @@
      */
     private static final int SILENCE_MS = 4000;
     private static final int CONNECT_MS = 2000;
+    /**
+     * A new service has 4 s from SIGHUP until all it has to tell counts as told. The module's own pause after
+     * a failed call may take 3 s of that, so the first calls there are repeated from here.
+     */
+    private static final int MOVE_FIRST_WORD_MS = 2500;
+    private static final int MOVE_RETRY_MS = 150;
+    private static final int MOVE_RETRY_MOST_MS = 2000;
 
     /** An entry of a list with the address and name that the module does not need. */
     record Entry(Router.Node node, String name, InetSocketAddress address) {
@@ -57,14 +66,20 @@
     private final Log log;
     private final Map<String, Integer> numbers = new HashMap<>();
     private final Map<Integer, String> names = new HashMap<>();
+    private InetSocketAddress address;
     private long version;
     private Call watch;
+    /** The watch at the service that takes over, until it has told its first list; and the calls it took. */
+    private Call successor;
+    private Future<?> moveRetry;
+    private int moveTries;
 
     Discovery(Proxy proxy, Config config, EventLoop loop, Log log) {
         this.proxy = proxy;
         this.config = config;
         this.loop = loop;
         this.log = log;
+        address = config.discovery;
     }
 
     /** The list that the configuration holds. */
@@ -75,14 +90,72 @@
     }
 
     void watch() {
-        if (watch != null) {
-            watch.silently(); // one watch is enough: each call costs list lines
+        if (moving() || watch != null) {
+            return; // one watch is enough, also one just begun at a new service: each call costs list lines
         }
-        watch = new Call(PATH + "?stream=1&index=" + version, true);
+        watch = new Call(PATH + "?stream=1&index=" + version, true, SILENCE_MS);
     }
 
     void fetch() {
-        new Call(PATH, false);
+        new Call(PATH, false, SILENCE_MS);
+    }
+
+    /**
+     * Discovery is at another address from now on. The list held, and the old watch while it lasts, serve
+     * until the new service has spoken. It is asked for everything: its versions are its own.
+     */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        log.line("discovery moves to " + NetUtil.toSocketAddressString(to));
+        address = to;
+        stopMoving();
+        moveTries = 0;
+        callSuccessor();
+    }
+
+    private static ReadTimeoutHandler silence(int ms) {
+        return new ReadTimeoutHandler(ms, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean moving() {
+        return successor != null || moveRetry != null;
+    }
+
+    private void stopMoving() {
+        if (successor != null) {
+            successor.silently();
+            successor = null;
+        }
+        if (moveRetry != null) {
+            moveRetry.cancel(false);
+            moveRetry = null;
+        }
+    }
+
+    private void callSuccessor() {
+        moveRetry = null;
+        successor = new Call(PATH + "?stream=1&index=0", true, MOVE_FIRST_WORD_MS);
+    }
+
+    private void successorFailed() {
+        successor = null;
+        int wait = Math.min(MOVE_RETRY_MOST_MS, MOVE_RETRY_MS << Math.min(moveTries++, 8));
+        // proxies are told together: without a spread their calls would meet again
+        long spread = wait / 2 + ThreadLocalRandom.current().nextInt(wait);
+        moveRetry = loop.schedule(this::callSuccessor, spread, TimeUnit.MILLISECONDS);
+    }
+
+    /** The new service has told its list: the old one has nothing more to say. */
+    private void taken(Call call) {
+        Call old = watch;
+        watch = call;
+        call.channel.pipeline().replace(ReadTimeoutHandler.class, null, silence(SILENCE_MS));
+        successor = null;
+        if (old != null) {
+            old.silently();
+        }
     }
 
     private static long version(Map<String, Object> list) {
@@ -168,11 +241,12 @@
     /** One request to discovery: a watch or a single list. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean stream;
+        private final InetSocketAddress at = address;
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Channel channel;
         private boolean over;
 
-        Call(String path, boolean stream) {
+        Call(String path, boolean stream, int firstWordMs) {
             this.stream = stream;
             Call call = this;
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -181,16 +255,15 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         channel = ch;
-                        ch.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
-                            new HttpClientCodec(), call);
+                        ch.pipeline().addLast(silence(firstWordMs), new HttpClientCodec(), call);
                     }
                 })
-                .connect(config.discovery).addListener((ChannelFutureListener) f -> {
+                .connect(at).addListener((ChannelFutureListener) f -> {
                     if (f.isSuccess()) {
                         DefaultFullHttpRequest get =
                             new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
                         get.headers().set(HttpHeaderNames.HOST,
-                            NetUtil.toSocketAddressString(config.discovery));
+                            NetUtil.toSocketAddressString(at));
                         f.channel().writeAndFlush(get);
                     } else {
                         failed("no connection");
@@ -210,10 +283,17 @@
                 return;
             }
             silently();
+            log.line("discovery: " + why);
+            if (this == successor) {
+                successorFailed();
+                return;
+            }
             if (watch == this) {
                 watch = null;
+                if (moving()) {
+                    return; // the old service ends its watches when it is replaced
+                }
             }
-            log.line("discovery: " + why);
             proxy.nodes(Router.ListKind.FAILED, List.of());
         }
 
@@ -271,6 +351,11 @@
                 List<Entry> entries = entries(list);
                 long newVersion = version(list);
                 boolean full = Boolean.TRUE.equals(list.get("full"));
+                if (this == successor) {
+                    log.line("discovery has moved: " + (full ? "a whole list" : "changes") + " of "
+                            + entries.size() + " nodes");
+                    taken(this);
+                }
                 version = newVersion;
                 proxy.nodes(full ? Router.ListKind.FULL : Router.ListKind.DELTA, entries);
             } catch (BadInput e) {
--- a/src/main/java/holdproxy/net/Log.java
+++ b/src/main/java/holdproxy/net/Log.java
@@ -8,7 +8,8 @@
     private long windowStart = System.nanoTime();
     private int lines;
 
-    void line(String text) {
+    /** Also called by the thread that reads a new configuration. */
+    synchronized void line(String text) {
         long now = System.nanoTime();
         if (now - windowStart > WINDOW_NS) {
             if (lines > MOST) {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -103,7 +103,9 @@
     public static void serve(Map<String, String> env) {
         Config config = Config.load(env);
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Proxy proxy = start(config, loop);
+        Proxy proxy = create(config, loop);
+        new Reload(env, proxy.log, proxy::reload).onSignal();
+        proxy.open();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             proxy.drain(DRAIN_OPEN_MS);
             Runtime.getRuntime().halt(0);
@@ -111,19 +113,33 @@
     }
 
     static Proxy start(Config config, EventLoop loop) {
+        Proxy proxy = create(config, loop);
+        proxy.open();
+        return proxy;
+    }
+
+    private static Proxy create(Config config, EventLoop loop) {
+        try {
+            return loop.submit(() -> new Proxy(config, loop)).get();
+        } catch (ExecutionException e) {
+            throw new BadInput("cannot start: " + e.getCause().getMessage());
+        } catch (InterruptedException e) {
+            throw new BadInput("interrupted");
+        }
+    }
+
+    private void open() {
         try {
-            Proxy proxy = loop.submit(() -> new Proxy(config, loop)).get();
-            loop.submit(proxy::begin).get();
-            ChannelFuture bound = proxy.listen().await();
+            loop.submit(this::begin).get();
+            ChannelFuture bound = listen().await();
             for (int i = 0; i < BIND_TRIES && bound.cause() instanceof BindException; i++) {
                 // after a restart the one before may hold the address a moment longer
                 Thread.sleep(BIND_WAIT_MS);
-                bound = proxy.listen().await();
+                bound = listen().await();
             }
             if (!bound.isSuccess()) {
                 throw new BadInput("cannot listen on " + config.listen + ": " + bound.cause().getMessage());
             }
-            return proxy;
         } catch (ExecutionException e) {
             throw new BadInput("cannot start: " + e.getCause().getMessage());
         } catch (InterruptedException e) {
@@ -131,6 +147,11 @@
         }
     }
 
+    /** A new configuration, already checked: where discovery is may change, nothing else. */
+    void reload(Config changed) {
+        loop.execute(() -> discovery.move(changed.discovery));
+    }
+
     private void begin() {
         tick();
         discovery.start();
