Tell a spoilt answer as a broken connection, and reuse none before its read is done

Cause: NodeConnection told answers that can't be read as ERROR, which the module counts as a failure of capacity against the tenant: at 1% of them a tenant over its quota was refused for good (71% of requests refused, nodes near idle). Nor is it one: the connection is what broke. Also mended there: a connection went back to the pool inside the read that brought its answer, so a second copy or noise behind it was taken for the next one's; a late copy is now known by its id; an answer that stalls for 0.3 s is given up and a read goes elsewhere; a write served without a receipt has failed; load figures that can't be true are left out. Ruled out: memory, descriptors, CPU (2.5 s of 25).

--- a/src/main/java/holdproxy/net/Answer.java
+++ b/src/main/java/holdproxy/net/Answer.java
@@ -9,6 +9,10 @@
 
 /** One answer of a cache node. */
 final class Answer {
+    private static final double MOST_FIGURE = 1e7;
+    /** A share of the cores, with some noise. */
+    private static final double MOST_BUSY = 4;
+
     final Router.Outcome outcome;
     /** The id that it names; null on an error line. */
     String opaque;
@@ -23,6 +27,7 @@
         this.outcome = outcome;
     }
 
+    /** What the node told of its load; what cannot be true is left out, as it would outweigh all that is. */
     void report(Router.Report report) {
         report.clear();
         if (load == null) {
@@ -33,12 +38,17 @@
             if (eq > 0) {
                 try {
                     double value = Double.parseDouble(field.substring(eq + 1));
-                    SettingsText.report(field.substring(0, eq), value, report);
+                    if (value >= 0 && value <= MOST_FIGURE) {
+                        SettingsText.report(field.substring(0, eq), value, report);
+                    }
                 } catch (NumberFormatException e) {
                     // a figure that is none tells nothing
                 }
             }
         }
+        if (report.busy > MOST_BUSY) {
+            report.busy = Double.NaN;
+        }
     }
 
     /** The lines for the client; what the node tells the proxy alone is left out. */
--- a/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/src/main/java/holdproxy/net/MetaDecoder.java
@@ -15,6 +15,11 @@
     private int block = NO_BLOCK;
     private boolean lost;
 
+    /** Whether a message has begun to come and has not ended. */
+    final boolean partial() {
+        return !lost && (block != NO_BLOCK || actualReadableBytes() > 0);
+    }
+
     /** A line without its end; returns the length of the block that follows, or {@link #NO_BLOCK}. */
     abstract int line(String line, List<Object> out);
 
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -5,20 +5,31 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 
 /** One connection to a cache node, with the attempts on it in the order of their answers. */
 final class NodeConnection extends SimpleChannelInboundHandler<Answer> {
+    /** From an answer's first byte to its last; a stalled one was cut short or tells a wrong length. */
+    private static final long STALL_US = 300_000;
+
     final NodePool pool;
+    private final Answer.Decoder decoder;
     private final ArrayDeque<Attempt> line = new ArrayDeque<>();
     private Channel channel;
     private boolean up;
     private boolean closed;
     /** An attempt on it was given up: what went on it now would wait behind that one's answer. */
     private boolean retired;
+    /** It has carried an answer and waits for the end of the read before it takes another request. */
+    private boolean resting;
+    /** The id of the last answer: a second copy of that one belongs to nothing. */
+    private String answered;
+    private Future<?> stall;
 
-    NodeConnection(NodePool pool) {
+    NodeConnection(NodePool pool, Answer.Decoder decoder) {
         this.pool = pool;
+        this.decoder = decoder;
     }
 
     @Override
@@ -88,23 +99,27 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Answer answer) {
+        stopStall();
+        if (closed) {
+            return;
+        }
         Attempt a = line.peek();
-        if (a == null || closed) {
-            close(); // an answer to nothing
+        if (a == null) {
+            close(); // more than belongs to the last answer: what else comes cannot be told from a next one
+            return;
+        }
+        if (!answer.broken && answer.opaque != null && answer.opaque.equals(answered)
+                && !answered.equals(a.exchange.command.opaque)) {
+            retired = true; // a second copy of the answer before: the one that is due may still follow
             return;
         }
         if (answer.broken || !a.written || answer.outcome == Router.Outcome.OK && !fits(answer, a)) {
-            pool.pools.log.line("node " + pool.name + " broke the protocol"
-                + (answer.broken ? ": " + Config.shown(answer.receipt) : ""));
-            line.poll();
-            end(a, Router.Outcome.ERROR, null);
-            close(); // whose its further answers are cannot be told
+            spoilt(answer.broken ? Config.shown(answer.receipt) : "an answer that is not the request's");
             return;
         }
         line.poll();
-        if (line.isEmpty() && !retired) {
-            pool.idle(this);
-        }
+        answered = answer.opaque;
+        resting = line.isEmpty();
         if (!a.over) {
             end(a, answer.outcome, answer);
         }
@@ -113,10 +128,57 @@
         }
     }
 
+    /**
+     * Only here a connection goes back to the pool: bytes right behind an answer, in the same read, would
+     * else be taken for the answer of the next request, and that one may run for nothing.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        boolean partial = decoder.partial();
+        if (resting && !closed) {
+            resting = false;
+            if (line.isEmpty() && (partial || retired)) {
+                close();
+            } else if (line.isEmpty()) {
+                pool.idle(this);
+            }
+        }
+        if (partial && stall == null && !closed) {
+            stall = pool.pools.after(STALL_US, () -> spoilt("an answer that does not end"));
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    /**
+     * The answer of the attempt whose turn it is cannot be used, nor anything after it. The request may have
+     * run. It is told as a broken connection, which it becomes: it says nothing of the node's load.
+     */
+    private void spoilt(String why) {
+        pool.pools.log.line("node " + pool.name + " broke the protocol: " + why);
+        Attempt a = line.poll();
+        if (a != null) {
+            end(a, Router.Outcome.RESET, null);
+        }
+        close(); // whose its further answers are cannot be told
+    }
+
+    /** Idle connections are closed: so is this one, should it be about to become idle. */
+    void closeIfResting() {
+        retired |= resting;
+    }
+
+    private void stopStall() {
+        if (stall != null) {
+            stall.cancel(false);
+            stall = null;
+        }
+    }
+
     /** Whether an answer is of the kind and bears the id of the attempt that is due one. */
     private static boolean fits(Answer answer, Attempt a) {
         Command c = a.exchange.command;
-        return c.opaque.equals(answer.opaque) && c.write == (answer.value == null);
+        boolean kind = c.write ? answer.value == null && answer.receipt != null : answer.value != null;
+        return kind && c.opaque.equals(answer.opaque);
     }
 
     private void end(Attempt a, Router.Outcome outcome, Answer answer) {
@@ -149,6 +211,7 @@
             return;
         }
         closed = true;
+        stopStall();
         pool.removed(this);
         while (!line.isEmpty()) {
             Attempt a = line.poll();
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -103,6 +103,7 @@
         while (!idle.isEmpty()) {
             idle.peekFirst().close();
         }
+        all.forEach(NodeConnection::closeIfResting);
     }
 
     /** Closes the connection that has been idle longest; false where none is. */
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -80,12 +80,13 @@
             return null;
         }
         open++;
-        NodeConnection c = new NodeConnection(pool);
+        Answer.Decoder decoder = new Answer.Decoder();
+        NodeConnection c = new NodeConnection(pool, decoder);
         pool.added(c);
         bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new Answer.Decoder(), c);
+                ch.pipeline().addLast(decoder, c);
             }
         }).connect(pool.address).addListener((ChannelFutureListener) c::dialed);
         return c;
