Admit client connections by what they say, and end those that say nothing whole

Admission now makes room among those that never asked, ends the silent and half-said within 2.2 s and the idle after 10 s; an id in use, or what a node answers with CLIENT_ERROR, is a final error; what can't be read pauses its connection. Ruled out: memory (53 MB), descriptors (214 of 384).

--- /dev/null
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -0,0 +1,128 @@
+package holdproxy.net;
+
+import io.netty.channel.EventLoop;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Which client connections stay: at most so many, and none that says nothing or stops inside a command.
+ * One sweep looks at the oldest of each kind. A read timeout for each connection would not do: a byte now
+ * and then would keep it open for good.
+ */
+final class Admission {
+    /** Connections over the bound that are still told so. */
+    static final int MOST_REFUSING = 16;
+    /** A client is owed an error or a close within 3 s of connecting, and of beginning a command. */
+    private static final long STRANGER_US = 2_000_000;
+    private static final long HALF_SAID_US = 2_000_000;
+    /** A connection between requests may go after 2 s; most clients come back within these. */
+    private static final long IDLE_US = 10_000_000;
+    private static final long SWEEP_MS = 200;
+
+    private final Proxy proxy;
+    private final int most;
+    private final Set<ClientSession> all = new LinkedHashSet<>();
+    /** Those that have sent no whole valid command yet, oldest first: the first to make room. */
+    private final Set<ClientSession> strangers = new LinkedHashSet<>();
+    /** Those between requests, the longest idle first. */
+    private final Set<ClientSession> idle = new LinkedHashSet<>();
+    /** Those inside a command, by when it began. */
+    private final Set<ClientSession> halfSaid = new LinkedHashSet<>();
+
+    Admission(Proxy proxy, int most, EventLoop loop) {
+        this.proxy = proxy;
+        this.most = most;
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void opened(ClientSession s) {
+        all.add(s);
+        s.openedUs = proxy.now();
+        if (all.size() > most && !makeRoom()) {
+            s.refuse();
+            if (all.size() > most + MOST_REFUSING) {
+                s.abort(); // descriptors: past the bound nothing could be opened, not even to a node
+                return;
+            }
+        }
+        strangers.add(s);
+    }
+
+    /** Between requests a connection may be closed; those that never asked for anything go first. */
+    private boolean makeRoom() {
+        Set<ClientSession> from = strangers.isEmpty() ? idle : strangers;
+        if (from.isEmpty()) {
+            return false;
+        }
+        ClientSession s = from.iterator().next();
+        s.abort();
+        closed(s); // at once: the next to come in the same burst must find another
+        return true;
+    }
+
+    /** It has sent a whole valid command. */
+    void known(ClientSession s) {
+        strangers.remove(s);
+    }
+
+    void busy(ClientSession s) {
+        idle.remove(s);
+    }
+
+    void idle(ClientSession s) {
+        s.idleUs = proxy.now();
+        idle.remove(s);
+        if (!strangers.contains(s)) {
+            idle.add(s);
+        }
+    }
+
+    /** After each read: whether a command has begun and not ended, and whether one before it has. */
+    void said(ClientSession s, boolean half, boolean whole) {
+        if (!half || whole) {
+            halfSaid.remove(s);
+        }
+        if (half && halfSaid.add(s)) {
+            s.halfSaidUs = proxy.now();
+        }
+    }
+
+    void closed(ClientSession s) {
+        all.remove(s);
+        strangers.remove(s);
+        idle.remove(s);
+        halfSaid.remove(s);
+    }
+
+    boolean none() {
+        return all.isEmpty();
+    }
+
+    List<ClientSession> all() {
+        return List.copyOf(all);
+    }
+
+    private void sweep() {
+        long now = proxy.now();
+        for (ClientSession s; (s = first(halfSaid)) != null && now - s.halfSaidUs > HALF_SAID_US;) {
+            halfSaid.remove(s);
+            s.fail("CLIENT_ERROR the command does not end");
+        }
+        for (ClientSession s; (s = first(strangers)) != null && now - s.openedUs > STRANGER_US;) {
+            strangers.remove(s);
+            s.abort();
+        }
+        for (ClientSession s; (s = first(idle)) != null && now - s.idleUs > IDLE_US;) {
+            idle.remove(s);
+            s.close();
+        }
+    }
+
+    private static ClientSession first(Set<ClientSession> set) {
+        Iterator<ClientSession> i = set.iterator();
+        return i.hasNext() ? i.next() : null;
+    }
+}
--- a/src/main/java/holdproxy/net/Answer.java
+++ b/src/main/java/holdproxy/net/Answer.java
@@ -20,6 +20,8 @@
     byte[] value;
     Router.CacheNote note = Router.CacheNote.NONE;
     private String load;
+    /** The node can't use the request, and no other could: nothing is learnt of the node. */
+    boolean rejected;
     /** Set where the node broke the protocol: what it sends after this cannot be told apart. */
     boolean broken;
 
@@ -88,6 +90,11 @@
                     a.opaque = null;
                     out.add(a);
                 }
+                case "CLIENT_ERROR" -> {
+                    Answer a = new Answer(Router.Outcome.CANCELLED);
+                    a.rejected = true;
+                    out.add(a);
+                }
                 default -> broken(line, out);
             }
             return NO_BLOCK;
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -15,6 +15,7 @@
     /** So many unanswered requests and the connection is not read on until some are answered. */
     private static final int MOST_WAITING = 128;
     private static final int LINGER_MS = 500;
+    private static final int PAUSE_MS = 500;
 
     /** A request's place in the order of answers. */
     static final class Slot {
@@ -22,16 +23,27 @@
         private Exchange exchange;
     }
 
+    /** Kept for {@link Admission}: when it was opened, became idle and began the command that it is in. */
+    long openedUs;
+    long idleUs;
+    long halfSaidUs;
     private final Proxy proxy;
+    private final Command.Decoder decoder;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
     private Channel channel;
     private boolean unread;
     private boolean closing;
     private boolean refusing;
     private boolean ending;
+    /** A whole command has come in this read. */
+    private boolean whole;
+    private boolean known;
+    private boolean paused;
+    private boolean lost;
 
-    ClientSession(Proxy proxy) {
+    ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
+        this.decoder = decoder;
     }
 
     @Override
@@ -41,7 +53,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        proxy.opened(this);
+        proxy.admission.opened(this);
     }
 
     boolean idle() {
@@ -60,7 +72,12 @@
         }
         Slot slot = new Slot();
         slots.add(slot);
-        proxy.busy(this);
+        whole = true;
+        if (!known && !(message instanceof Command.Fault)) {
+            known = true;
+            proxy.admission.known(this);
+        }
+        proxy.admission.busy(this);
         if (refusing && !(message instanceof Command.Fault)) {
             closing = true;
             answer(slot, proxy.busy());
@@ -69,17 +86,47 @@
         } else if (message instanceof Command.Greeting) {
             answer(slot, "MN");
         } else if (message instanceof Command.Fault f) {
-            unread |= f.close();
-            closing |= f.close();
-            answer(slot, f.line());
+            fault(slot, f);
         }
         throttle();
     }
 
+    /**
+     * What can't be read has its error line at once, and is then not read from for a while: clients that
+     * send the same again as soon as they are answered or turned away, or go on with 60 MB after a line,
+     * would take the time of all others. Where framing is lost the connection ends after that while.
+     */
+    private void fault(Slot slot, Command.Fault f) {
+        lost |= f.close();
+        unread |= f.close();
+        closing |= f.close();
+        paused = true;
+        channel.eventLoop().schedule(() -> {
+            paused = false;
+            throttle();
+        }, PAUSE_MS, TimeUnit.MILLISECONDS);
+        answer(slot, f.line());
+    }
+
+    /** It is in the middle of a command for too long: told so, and ended. */
+    void fail(String line) {
+        Slot slot = new Slot();
+        slots.add(slot);
+        closing = true;
+        answer(slot, line);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        boolean reading = !unread && channel.config().isAutoRead(); // else what is missing may be with us
+        proxy.admission.said(this, reading && decoder.partial(), whole);
+        whole = false;
+    }
+
     /** Bounded memory: a client that asks without end or does not read its answers is not read from. */
     private void throttle() {
         boolean room = !closing && slots.size() < MOST_WAITING && channel.isWritable();
-        channel.config().setAutoRead(unread || room);
+        channel.config().setAutoRead(!paused && !lost && (unread || room));
     }
 
     @Override
@@ -116,7 +163,9 @@
             throttle();
         }
         if (slots.isEmpty()) {
-            if (closing) {
+            if (lost) {
+                channel.eventLoop().schedule(() -> channel.close(), PAUSE_MS, TimeUnit.MILLISECONDS);
+            } else if (closing) {
                 end();
             } else {
                 proxy.idle(this);
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -117,6 +117,7 @@
             spoilt(answer.broken ? Config.shown(answer.receipt) : "an answer that is not the request's");
             return;
         }
+        retired |= answer.rejected; // the node may close it, or may have read only a part of the request
         line.poll();
         answered = answer.opaque;
         resting = line.isEmpty();
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -18,7 +18,6 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -36,8 +35,6 @@
     private static final long MOST_HELD_BYTES = 16L << 20;
     private static final long MOST_UNTAKEN_BYTES = 12L << 20;
     private static final int MOST_OPEN = 4096;
-    /** Connections over the bound on clients that are still told so. */
-    private static final int MOST_REFUSING = 16;
     private static final long DEFAULT_ADVICE_US = 500_000;
     /** The client's clock started when it sent: what an answer needs to be with it in time. */
     private static final long TRANSIT_US = 5_000;
@@ -62,10 +59,9 @@
     private final Discovery discovery;
     private final Router router;
     private final Map<Long, Exchange> table = new HashMap<>();
-    private final Set<ClientSession> sessions = new HashSet<>();
-    /** Idle connections, longest first. */
-    private final Set<ClientSession> idle = new LinkedHashSet<>();
-    private final int mostSessions;
+    /** The ids that clients gave to what is in the table. */
+    private final Set<String> openIds = new HashSet<>();
+    final Admission admission;
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
     private final Set<Integer> listed = new HashSet<>();
@@ -86,7 +82,8 @@
         this.loop = loop;
         unixAtOriginUs = System.currentTimeMillis() * 1000;
         int left = config.sockets - OWN_DESCRIPTORS;
-        mostSessions = left / 2;
+        int mostSessions = left / 2;
+        admission = new Admission(this, mostSessions, loop);
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
             names.classes().put(config.settings.classes[i].name, i);
@@ -94,7 +91,7 @@
         for (int i = 0; i < config.settings.tenants.length; i++) {
             names.tenants().put(config.settings.tenants[i].name, i);
         }
-        pools = new NodePools(this, config, loop, log, left - mostSessions - MOST_REFUSING);
+        pools = new NodePools(this, config, loop, log, left - mostSessions - Admission.MOST_REFUSING);
         discovery = new Discovery(this, config, loop, log);
         router = new Choice(config.settings, config.seed, now(), this);
     }
@@ -169,7 +166,8 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new Command.Decoder(names), new ClientSession(proxy));
+                    Command.Decoder decoder = new Command.Decoder(names);
+                    ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
                 }
             })
             .bind(config.listen);
@@ -229,39 +227,15 @@
 
     // ---- client connections ----
 
-    void opened(ClientSession s) {
-        sessions.add(s);
-        if (sessions.size() > mostSessions) {
-            // between requests a connection may be closed: the one that has been idle longest makes room
-            if (!idle.isEmpty()) {
-                ClientSession oldest = idle.iterator().next();
-                idle.remove(oldest);
-                oldest.close();
-            } else {
-                s.refuse();
-            }
-            if (sessions.size() > mostSessions + MOST_REFUSING) {
-                s.abort(); // descriptors: past the bound nothing could be opened, not even to a node
-            }
-        }
-        idle.add(s);
-    }
-
-    void busy(ClientSession s) {
-        idle.remove(s);
-    }
-
     void idle(ClientSession s) {
-        idle.add(s);
+        admission.idle(s);
         if (draining && listener == null) {
-            idle.remove(s);
             s.close();
         }
     }
 
     void closed(ClientSession s) {
-        sessions.remove(s);
-        idle.remove(s);
+        admission.closed(s);
         finishDrain();
     }
 
@@ -273,6 +247,11 @@
             session.answer(slot, busy());
             return null;
         }
+        if (!openIds.add(c.opaque)) {
+            // ids are new with every request: passed on, it could bring one client what was made for another
+            session.answer(slot, "CLIENT_ERROR the id is in use");
+            return null;
+        }
         long now = now();
         long classUs = config.settings.classes[c.requestClass].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
@@ -316,6 +295,7 @@
     private void settle(Exchange x) {
         if (x.answered && x.out == 0 && table.remove(x.id) != null) {
             heldBytes -= x.command.valueBytes();
+            openIds.remove(x.command.opaque);
         }
     }
 
@@ -352,6 +332,9 @@
         if (outcome == Router.Outcome.OK && !x.answered) {
             concluded(x);
             x.session.answer(x.slot, answer.encode(ByteBufAllocator.DEFAULT));
+        } else if (answer != null && answer.rejected && !x.answered) {
+            concluded(x); // no node can use it: further attempts would only count against these
+            x.session.answer(x.slot, "CLIENT_ERROR bad request");
         }
         settle(x);
         long now = now();
@@ -523,14 +506,14 @@
     private void stopListening() {
         listener.close();
         listener = null;
-        for (ClientSession s : List.copyOf(sessions)) {
+        for (ClientSession s : admission.all()) {
             s.close();
         }
         finishDrain();
     }
 
     private void finishDrain() {
-        if (draining && listener == null && sessions.isEmpty()) {
+        if (draining && listener == null && admission.none()) {
             drained.countDown();
         }
     }
