Let BLUE's step follow a tenant's rate at any rate

Cause: Choice.PI held the step at 0.04 or more, which is 25 failures running at 10 requests a second of a tenant. EVIDENCE_S already sets the step by rate; its lower bound is now 0.002. Pi stays 100 times Pd.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -12,10 +12,12 @@
     // FAIR: levels x buckets. Two tenants share all buckets with chance 64^-3; two tables are 5 KB a proxy.
     static final int LEVELS = 3;
     static final int BUCKETS = 64;
-    // FAIR: 25 failures running take a chance from 0 to 1; a success takes back a hundredth of one failure.
-    static final double PI = 0.04;
+    // FAIR: failures running take a chance from 0 to 1; a success takes back a hundredth of one. A step
+    // follows the tenant's rate (EVIDENCE_S) down to this: held at 0.04, 1% of failures at 100 requests a
+    // second outran the fading and filled a bucket.
+    static final double PI = 0.002;
     static final double PD_SHARE = 0.01;
-    // Quiet proxies: a step grows until this many seconds of a tenant's own failures would fill a bucket.
+    // A step is such that this many seconds of a tenant's own failures would fill a bucket.
     static final double EVIDENCE_S = 2.5;
     static final double PI_MOST = 0.8;
     // Redemption: a chance fades by 1/e in this time, so that a refused tenant is tried again within seconds.
