--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -45,6 +45,7 @@
     private static final long DRAIN_MOST_MS = 3_600;
     private static final long TICK_US = 20_000;
     private static final long JUST_US = 5_000;
+    private static final long LATE_TOLD_US = 50_000;
     private static final int BACKLOG = 512;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
@@ -182,6 +183,9 @@
     private void tick() {
         long now = now();
         lastLateUs = tickDueUs == 0 ? 0 : now - tickDueUs;
+        if (lastLateUs > LATE_TOLD_US) {
+            log.line("the loop stood still for " + lastLateUs / 1000 + " ms");
+        }
         lastTickUs = now;
         tickDueUs = now + TICK_US;
         loop.schedule(this::tick, TICK_US, TimeUnit.MICROSECONDS);
@@ -388,8 +392,9 @@
 
     private void left(int id, boolean gone) {
         pools.leave(id, gone);
-        if (gone && listed.remove(id)) {
-            discovery.forget(id);
+        if (gone) {
+            listed.remove(id);
+            discovery.forget(id); // also one that was never listed: such numbers would pile up for good
         }
     }
 
