Serve the large values that cache nodes really send, within one budget

Cause: MetaDecoder turned away answers over 64 KiB on both sides. A log of the lines showed VA with 150,000 to 380,000 bytes, the same length for one request from several nodes: true values, each thrown away with its connection and tried at the next node, where it failed again. Nodes' values may now have 1 MiB; clients' stay at 64 KiB. Blocks are filled as they come, all that are coming count against one budget a side (handed back when a connection ends), and an answer is not copied on its way to the client. A stall counts from the last bytes, not the first. Ruled out: a misread framing (lengths agree between nodes).

--- a/src/main/java/holdproxy/net/Answer.java
+++ b/src/main/java/holdproxy/net/Answer.java
@@ -3,12 +3,15 @@
 import holdproxy.Router;
 import holdproxy.SettingsText;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 /** One answer of a cache node. */
 final class Answer {
+    /** Nodes serve values of several times what clients may send. */
+    private static final int LARGEST_VALUE = 1 << 20;
+    private static final byte[] CRLF = {'\r', '\n'};
     private static final double MOST_FIGURE = 1e7;
     /** A share of the cores, with some noise. */
     private static final double MOST_BUSY = 4;
@@ -54,21 +57,21 @@
     }
 
     /** The lines for the client; what the node tells the proxy alone is left out. */
-    ByteBuf encode(ByteBufAllocator alloc) {
-        int length = value == null ? 0 : value.length;
-        ByteBuf out = alloc.buffer(opaque.length() + 32 + length + (receipt == null ? 0 : receipt.length()));
-        String line = value != null ? "VA " + length + " " + opaque
-                : receipt != null ? "HD " + opaque + " " + receipt : "HD " + opaque;
-        out.writeCharSequence(line + "\r\n", StandardCharsets.ISO_8859_1);
-        if (value != null) {
-            out.writeBytes(value).writeByte('\r').writeByte('\n');
-        }
-        return out;
+    ByteBuf encode() {
+        String line = value != null ? "VA " + value.length + " " + opaque : "HD " + opaque + " " + receipt;
+        ByteBuf first = Unpooled.copiedBuffer(line + "\r\n", StandardCharsets.ISO_8859_1);
+        // large values are not copied: memory is short
+        return value == null ? first
+                : Unpooled.wrappedBuffer(first, Unpooled.wrappedBuffer(value), Unpooled.wrappedBuffer(CRLF));
     }
 
     static final class Decoder extends MetaDecoder {
         private Answer pending;
 
+        Decoder(Budget budget) {
+            super(LARGEST_VALUE, budget);
+        }
+
         @Override
         int line(String line, List<Object> out) {
             String[] tokens = line.split(" ");
--- a/src/main/java/holdproxy/net/Command.java
+++ b/src/main/java/holdproxy/net/Command.java
@@ -12,6 +12,7 @@
     private static final byte[] CRLF = {'\r', '\n'};
     private static final int LONGEST_KEY = 250;
     private static final int LONGEST_ID = 64;
+    private static final int LARGEST_VALUE = 64 << 10;
 
     final boolean write;
     final String opaque;
@@ -168,7 +169,8 @@
         private Command pending;
         private String pendingFault;
 
-        Decoder(Names names) {
+        Decoder(Names names, Budget budget) {
+            super(LARGEST_VALUE, budget);
             this.names = names;
         }
 
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -10,7 +10,7 @@
 
 /** One connection to a cache node, with the attempts on it in the order of their answers. */
 final class NodeConnection extends SimpleChannelInboundHandler<Answer> {
-    /** From an answer's first byte to its last; a stalled one was cut short or tells a wrong length. */
+    /** Between two reads of one answer; a stalled one was cut short or tells a wrong length. */
     private static final long STALL_US = 300_000;
 
     final NodePool pool;
@@ -144,7 +144,8 @@
                 pool.idle(this);
             }
         }
-        if (partial && stall == null && !closed) {
+        stopStall();
+        if (partial && !closed) {
             stall = pool.pools.after(STALL_US, () -> spoilt("an answer that does not end"));
         }
         ctx.fireChannelReadComplete();
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -17,6 +17,9 @@
 final class NodePools {
     private static final long IDLE_SHARE = 5;
 
+    /** Bytes of answers that have begun to come. */
+    private static final long MOST_COMING_BYTES = 12L << 20;
+
     final Proxy proxy;
     final Log log;
     final int streams;
@@ -25,6 +28,7 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Map<Integer, NodePool> byId = new HashMap<>();
+    private final Budget coming = new Budget(MOST_COMING_BYTES);
     private int open;
 
     NodePools(Proxy proxy, Config config, EventLoop loop, Log log, int most) {
@@ -80,7 +84,7 @@
             return null;
         }
         open++;
-        Answer.Decoder decoder = new Answer.Decoder();
+        Answer.Decoder decoder = new Answer.Decoder(coming);
         NodeConnection c = new NodeConnection(pool, decoder);
         pool.added(c);
         bootstrap.clone().handler(new ChannelInitializer<Channel>() {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -4,7 +4,6 @@
 import holdproxy.Choice;
 import holdproxy.Router;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -32,7 +31,9 @@
 public final class Proxy implements Router.Actions {
     /** Descriptors for the program itself: libraries, selector, listener, discovery. */
     private static final int OWN_DESCRIPTORS = 48;
-    private static final long MOST_HELD_BYTES = 16L << 20;
+    /** Bytes of values: of open requests, still coming from clients, and of answers not taken yet. */
+    private static final long MOST_HELD_BYTES = 6L << 20;
+    private static final long MOST_COMING_BYTES = 4L << 20;
     private static final long MOST_UNTAKEN_BYTES = 12L << 20;
     private static final int MOST_OPEN = 4096;
     private static final long DEFAULT_ADVICE_US = 500_000;
@@ -56,6 +57,7 @@
     private final long origin = System.nanoTime();
     private final long unixAtOriginUs;
     private final Command.Names names;
+    private final Budget coming = new Budget(MOST_COMING_BYTES);
     private final NodePools pools;
     private final Discovery discovery;
     private final Router router;
@@ -167,7 +169,7 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    Command.Decoder decoder = new Command.Decoder(names);
+                    Command.Decoder decoder = new Command.Decoder(names, coming);
                     ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
                 }
             })
@@ -335,7 +337,7 @@
         x.out--;
         if (outcome == Router.Outcome.OK && !x.answered) {
             concluded(x);
-            x.session.answer(x.slot, answer.encode(ByteBufAllocator.DEFAULT));
+            x.session.answer(x.slot, answer.encode());
         } else if (answer != null && answer.rejected && !x.answered) {
             concluded(x); // no node can use it: further attempts would only count against these
             x.session.answer(x.slot, "CLIENT_ERROR bad request");
