Keep connections: only one that had long idled tells against idling

Choice.onTimer shortened the idle limit with every slow request on a used connection, also one that had rested for 2 ms, and THRIFT_MOST = 12 let it fall to 0.2 ms, where nothing is reused that could win it back. Ruled out: resting a connection before reuse (resets grow with its rest: 11% under 0.1 s, 44% over). Seen too: half of the requests have 60 to 100 ms in the time that fails; that comes next.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -75,7 +75,7 @@
     static final double COPY_LATEST = 0.6;
     // Connections: a failure cuts the time that one may idle by e, a use of one that had idled wins it back.
     static final double THRIFT_STEP = 1;
-    static final double THRIFT_MOST = 12;
+    static final double THRIFT_MOST = 4;
     static final double THRIFT_FADE_US = 60e6;
     // Discovery: first calls spread over this part of the time in which an instance has to ask.
     static final double ASK_SPREAD = 0.8;
@@ -575,7 +575,7 @@
             // slow compared with others: without this a node whose copies win elsewhere would never be blamed
             int first = Integer.numberOfTrailingZeros(r.out);
             Target slow = r.node[first];
-            if (r.idledUs[first] >= 0) {
+            if (r.idledUs[first] > idleLimit(now) / 4) {
                 thrift.add(THRIFT_STEP, THRIFT_MOST, now);
                 closeIdle(slow, out);
             }
