--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -105,6 +105,7 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = create(config, loop);
         new Reload(env, proxy.log, proxy::reload).onSignal();
+        proxy.warmUp();
         proxy.open();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             proxy.drain(DRAIN_OPEN_MS);
@@ -128,6 +129,10 @@
         }
     }
 
+    private void warmUp() {
+        loop.submit(() -> Warmup.run(this, config, names)).awaitUninterruptibly();
+    }
+
     private void open() {
         try {
             loop.submit(this::begin).get();
