--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -233,6 +233,10 @@
         return number;
     }
 
+    int remembered() {
+        return numbers.size();
+    }
+
     /** The node is gone for good; ids are new with each machine and would pile up. */
     void forget(int number) {
         numbers.remove(names.remove(number));
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -59,7 +59,7 @@
     private final Command.Names names;
     private final Budget coming = new Budget(MOST_COMING_BYTES);
     private final NodePools pools;
-    private final Discovery discovery;
+    final Discovery discovery;
     private final Router router;
     private final Map<Long, Exchange> table = new HashMap<>();
     /** The ids that clients gave to what is in the table. */
--- a/src/test/java/holdproxy/net/DiscoveryTest.java
+++ b/src/test/java/holdproxy/net/DiscoveryTest.java
@@ -52,6 +52,22 @@
         }
     }
 
+    /** Danger: ids are new with each machine, and what is kept of those that are gone grows for good. */
+    @Test
+    void nothingIsKeptOfNodesThatAreGoneEvenIfTheyWereNeverListed() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer watch = f.watch();
+            String[] gone = new String[100];
+            for (int i = 0; i < gone.length; i++) {
+                gone[i] = f.entry(0, "DELETED").replace("s-0", "g-" + i);
+            }
+            Fixture.chunk(watch, Fixture.list(2, false, gone));
+            Fixture.chunk(watch, "{}"); // no list: it ends the watch, after the one before it was taken in
+            watch.expectEnd();
+            assertEquals(1, f.loop.submit(() -> f.proxy.discovery.remembered()).get());
+        }
+    }
+
     @Test
     void anAttemptOutAtANodeThatDrainsIsStillAnswered() throws Exception {
         try (Fixture f = new Fixture(1)) {
