Read the configured node list before the module sets its timers

Ruled out: output of another test (the test reads a process of its own). To blame: Proxy's constructor makes the module, which sets its timer to ask for the list, and only then did Proxy.begin parse the configured one (Discovery.start); with that malformed, the loop called discovery until the JVM was gone, a race with the exit. Now Discovery parses the list when it is made, before the module.

--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -66,6 +66,8 @@
     private final Log log;
     private final Map<String, Integer> numbers = new HashMap<>();
     private final Map<Integer, String> names = new HashMap<>();
+    /** The list that the configuration holds, until it is told. */
+    private List<Entry> known;
     private InetSocketAddress address;
     private long version;
     private Call watch;
@@ -80,13 +82,13 @@
         this.loop = loop;
         this.log = log;
         address = config.discovery;
+        known = entries(config.known);
+        version = version(config.known);
     }
 
-    /** The list that the configuration holds. */
     void start() {
-        List<Entry> entries = entries(config.known);
-        version = version(config.known);
-        proxy.nodes(Router.ListKind.CACHED, entries);
+        proxy.nodes(Router.ListKind.CACHED, known);
+        known = null;
     }
 
     void watch() {
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -96,6 +96,7 @@
         }
         pools = new NodePools(this, config, loop, log, left - mostSessions - Admission.MOST_REFUSING);
         discovery = new Discovery(this, config, loop, log);
+        // last: it sets timers at once, and a proxy that can't start for a bad list must call nobody
         router = new Choice(config.settings, config.seed, now(), this);
     }
 
--- a/src/test/java/holdproxy/net/ConfigTest.java
+++ b/src/test/java/holdproxy/net/ConfigTest.java
@@ -7,12 +7,16 @@
 
 import holdproxy.BadInput;
 import holdproxy.Router;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -82,4 +86,26 @@
         assertEquals(1, err.lines().count(), err);
         assertTrue(err.contains("list entry"), err);
     }
+
+    /** One that ended with its line and code went on calling discovery and logging until the JVM was gone. */
+    @Test
+    void aProxyThatCannotStartCallsNobody() throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try (Peer.Listener discovery = new Peer.Listener()) {
+            String malformed = "{\"version\":7,\"servers\":[{}]}";
+            Config bad = started(discovery, malformed);
+            assertThrows(BadInput.class, () -> Proxy.start(bad, loop));
+            Proxy.start(started(discovery, Fixture.list(5, true)), loop);
+            // the seed is the same and so the moment to ask: had the first asked, it would have been before
+            assertEquals("GET /registry/instances?stream=1&index=5 HTTP/1.1", discovery.next().line());
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private Config started(Peer.Listener discovery, String list) throws Exception {
+        Map<String, String> env = env(Fixture.json(list, Fixture.SETTINGS, 1024));
+        env.put("LB_DISCOVERY", discovery.address());
+        return Config.load(env);
+    }
 }
