Close clients that asked once and stay before they fill what clients may open

Counts each second of what was open: 130 to 167 of 168 places were idle connections, nearly all with one request each and none asked again, and the requests that came were as many as places that became free (60 to 70 a second of 290). To blame: Admission counted against its own bound of half the descriptors only; clients may hold a third, and those that ask once and stay filled that for 10 s each. Now known connections over a quarter of the descriptors are closed when idle, those that did not come back first, the longest idle first; the same order makes room at the bound.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -24,17 +24,20 @@
 
     private final Proxy proxy;
     private final int most;
+    private final int mostKnown;
     private final Set<ClientSession> all = new LinkedHashSet<>();
     /** Those that have sent no whole valid command yet, oldest first: the first to make room. */
     private final Set<ClientSession> strangers = new LinkedHashSet<>();
-    /** Those between requests, the longest idle first. */
+    /** Those between requests, the longest idle first; of them, those that have asked only once so far. */
     private final Set<ClientSession> idle = new LinkedHashSet<>();
+    private final Set<ClientSession> askedOnce = new LinkedHashSet<>();
     /** Those inside a command, by when it began. */
     private final Set<ClientSession> halfSaid = new LinkedHashSet<>();
 
-    Admission(Proxy proxy, int most, EventLoop loop) {
+    Admission(Proxy proxy, int most, int mostKnown, EventLoop loop) {
         this.proxy = proxy;
         this.most = most;
+        this.mostKnown = mostKnown;
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -53,11 +56,10 @@
 
     /** Between requests a connection may be closed; those that never asked for anything go first. */
     private boolean makeRoom() {
-        Set<ClientSession> from = strangers.isEmpty() ? idle : strangers;
-        if (from.isEmpty()) {
+        ClientSession s = strangers.isEmpty() ? leastMissed() : first(strangers);
+        if (s == null) {
             return false;
         }
-        ClientSession s = from.iterator().next();
         s.abort();
         closed(s); // at once: the next to come in the same burst must find another
         return true;
@@ -69,17 +71,42 @@
     }
 
     void busy(ClientSession s) {
-        idle.remove(s);
+        s.askedAgain |= idle.remove(s);
+        askedOnce.remove(s);
     }
 
+    /**
+     * Between requests, which may be for good: clients may open only so many connections, and those that ask
+     * once and stay would leave none for others long before our own bound is reached.
+     */
     void idle(ClientSession s) {
         s.idleUs = proxy.now();
         idle.remove(s);
-        if (!strangers.contains(s)) {
-            idle.add(s);
+        if (strangers.contains(s)) {
+            return;
+        }
+        idle.add(s);
+        if (!s.askedAgain) {
+            askedOnce.add(s);
+        }
+        if (all.size() - strangers.size() > mostKnown) {
+            ClientSession least = leastMissed();
+            left(least);
+            least.close();
         }
     }
 
+    /** The longest idle of those that have not come back to it, or of all that are idle. */
+    private ClientSession leastMissed() {
+        ClientSession s = first(askedOnce);
+        return s != null ? s : first(idle);
+    }
+
+    private void left(ClientSession s) {
+        idle.remove(s);
+        askedOnce.remove(s);
+    }
+
     /** After each read: whether a command has begun and not ended, and whether one before it has. */
     void said(ClientSession s, boolean half, boolean whole) {
         if (!half || whole) {
@@ -93,7 +120,7 @@
     void closed(ClientSession s) {
         all.remove(s);
         strangers.remove(s);
-        idle.remove(s);
+        left(s);
         halfSaid.remove(s);
     }
 
@@ -116,7 +143,7 @@
             s.abort();
         }
         for (ClientSession s; (s = first(idle)) != null && now - s.idleUs > IDLE_US;) {
-            idle.remove(s);
+            left(s);
             s.close();
         }
     }
--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -27,6 +27,7 @@
     long openedUs;
     long idleUs;
     long halfSaidUs;
+    boolean askedAgain;
     private final Proxy proxy;
     private final Command.Decoder decoder;
     private final ArrayDeque<Slot> slots = new ArrayDeque<>();
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -86,7 +86,7 @@
         unixAtOriginUs = System.currentTimeMillis() * 1000;
         int left = config.sockets - OWN_DESCRIPTORS;
         int mostSessions = left / 2;
-        admission = new Admission(this, mostSessions, loop);
+        admission = new Admission(this, mostSessions, config.sockets / 4, loop);
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
             names.classes().put(config.settings.classes[i].name, i);
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -20,6 +20,11 @@
         node.close();
     }
 
+    private static void greeted(Peer client) throws Exception {
+        client.send("mn\r\n");
+        client.expect("MN");
+    }
+
     /** The connection ends, perhaps after it was told why. */
     private static void ends(Peer p) throws Exception {
         String line = p.line();
@@ -71,8 +76,7 @@
             List<Peer> usual = new ArrayList<>();
             for (int i = 0; i < 30; i++) {
                 Peer p = f.client();
-                p.send("mn\r\n");
-                p.expect("MN");
+                greeted(p);
                 usual.add(p);
             }
             Peer first = f.client();
@@ -86,6 +90,27 @@
         }
     }
 
+    /** Danger: connections that ask once and stay would fill all that clients may open, and few asked again. */
+    @Test
+    void thoseThatAskOnceAndStayMakeRoomBeforeOneThatHasComeBack() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s, 128)) { // 32 of them are for clients that have asked
+            Peer usual = f.client();
+            greeted(usual);
+            greeted(usual);
+            List<Peer> once = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                Peer p = f.client();
+                greeted(p);
+                once.add(p);
+            }
+            for (int i = 0; i < 60 - 31; i++) {
+                once.get(i).expectEnd();
+            }
+            greeted(once.get(59));
+            served(f, usual, "a1");
+        }
+    }
+
     /** Danger: passed on, it could bring one client the value that was made for another. */
     @Test
     void theIdOfAnotherOpenRequestIsTurnedAwayAndMayBeUsedOnceThatHasEnded() throws Exception {
