Warm up sockets before the proxy listens, and compile after a tenth of the calls

Compilations printed after 'ready': 1,194, mostly of netty's channels, pipeline and outbound buffer and the JDK's socket channels, which the warm-up of decoders and module does not touch. Now 60 connections over a Unix domain socket run that code before listening, the module's rounds are 40, and C1 compiles after 20 calls instead of 200.

--- a/src/main/java/holdproxy/net/ClientSession.java
+++ b/src/main/java/holdproxy/net/ClientSession.java
@@ -5,7 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
@@ -198,7 +198,7 @@
         ending = true;
         unread = true;
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-            .addListener(f -> ((SocketChannel) channel).shutdownOutput());
+            .addListener(f -> ((DuplexChannel) channel).shutdownOutput());
         throttle();
         channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -131,7 +131,12 @@
     }
 
     private void warmUp() {
-        loop.submit(() -> Warmup.run(this, config, names)).awaitUninterruptibly();
+        try {
+            loop.submit(() -> Warmup.run(this, config, names)).await();
+            SocketWarmup.run(loop, clients(), log);
+        } catch (InterruptedException e) {
+            throw new BadInput("interrupted");
+        }
     }
 
     private void open() {
@@ -166,19 +171,23 @@
         }
     }
 
-    private ChannelFuture listen() {
+    private ChannelInitializer<Channel> clients() {
         Proxy proxy = this;
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                Command.Decoder decoder = new Command.Decoder(names, coming);
+                ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
+            }
+        };
+    }
+
+    private ChannelFuture listen() {
         ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    Command.Decoder decoder = new Command.Decoder(names, coming);
-                    ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
-                }
-            })
+            .childHandler(clients())
             .bind(config.listen);
         listener = bound.channel();
         return bound;
--- a/src/main/java/holdproxy/net/Warmup.java
+++ b/src/main/java/holdproxy/net/Warmup.java
@@ -14,8 +14,8 @@
  * without sockets and on a module of its own; the proxy's own has seen nothing of it.
  */
 final class Warmup implements Router.Actions {
-    /** Compiled after 200 calls; some more for those branches that not every round takes. */
-    private static final int ROUNDS = 230;
+    /** Compiled after 20 calls (the deploy file sets that); more for branches that not every round takes. */
+    private static final int ROUNDS = 40;
     private static final long STEP_US = 10_000;
 
     private Warmup() {
