--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -12,6 +12,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -102,6 +104,8 @@
 
     /** Runs a proxy until SIGTERM. */
     public static void serve(Map<String, String> env) {
+        // named, since looking for other loggers and failing takes a part of the time to start
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         Config config = Config.load(env);
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = create(config, loop);
@@ -517,9 +521,8 @@
             loop.schedule(this::stopListening, openMs, TimeUnit.MILLISECONDS);
         });
         try {
-            if (!drained.await(DRAIN_MOST_MS, TimeUnit.MILLISECONDS)) {
-                log.line("ending with requests open");
-            }
+            boolean all = drained.await(DRAIN_MOST_MS, TimeUnit.MILLISECONDS);
+            log.line(all ? "ended" : "ending with requests open");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/holdproxy/net/SocketWarmup.java
+++ b/src/main/java/holdproxy/net/SocketWarmup.java
@@ -24,7 +24,7 @@
  * and the proxy is to listen on no other address than its own.
  */
 final class SocketWarmup {
-    static final int ROUNDS = 60;
+    static final int ROUNDS = 35;
     private static final int MOST_MS = 2_000;
 
     private final EventLoop loop;
--- a/src/main/java/holdproxy/net/Warmup.java
+++ b/src/main/java/holdproxy/net/Warmup.java
@@ -15,7 +15,7 @@
  */
 final class Warmup implements Router.Actions {
     /** Compiled after 20 calls (the deploy file sets that); more for branches that not every round takes. */
-    private static final int ROUNDS = 40;
+    private static final int ROUNDS = 25;
     private static final long STEP_US = 10_000;
 
     private Warmup() {
