--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -363,17 +363,27 @@
         }
         settle(x);
         long now = now();
+        Router.Outcome told = stoodOver(a, outcome, now) ? Router.Outcome.CANCELLED : outcome;
         event(() -> {
             if (answer != null) {
                 answer.report(report);
             } else {
                 report.clear();
             }
-            router.onOutcome(now(), x.id, a.number, outcome, now - a.sentUs, x.answered,
+            router.onOutcome(now(), x.id, a.number, told, now - a.sentUs, x.answered,
                 answer == null ? Router.CacheNote.NONE : answer.note, report, this);
         });
     }
 
+    /**
+     * Its time ran out, or the node found it over, while the loop stood still: that tells nothing of the node
+     * or the load. Told as failures, one pause would make the module refuse requests for seconds.
+     */
+    private static boolean stoodOver(Attempt a, Router.Outcome outcome, long now) {
+        return (outcome == Router.Outcome.TIMEOUT || outcome == Router.Outcome.OVERLOADED)
+                && now - a.sentUs > a.waitUs + TICK_US;
+    }
+
     private void giveUp(Attempt a, Router.Outcome outcome) {
         if (!a.over) {
             // what was never written whole cannot run: the module may refuse it or send it elsewhere
