Trim known clients between reads only, and only those that asked once and wait

The lost requests: Admission.idle closed a session in the middle of a read, when its first answer had gone out and the next command was still in the decoder; what came then was dropped. It also took connections that were in use again and again: now only those that asked once and have waited for 0.25 s.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -20,11 +20,15 @@
     private static final long HALF_SAID_US = 2_000_000;
     /** A connection between requests may go after 2 s; most clients come back within these. */
     private static final long IDLE_US = 10_000_000;
+    /** Where clients are short of connections, one that waits for a request gets it sooner than this. */
+    private static final long STAYS_US = 250_000;
     private static final long SWEEP_MS = 200;
 
     private final Proxy proxy;
     private final int most;
     private final int mostKnown;
+    private final EventLoop loop;
+    private boolean trimming;
     private final Set<ClientSession> all = new LinkedHashSet<>();
     /** Those that have sent no whole valid command yet, oldest first: the first to make room. */
     private final Set<ClientSession> strangers = new LinkedHashSet<>();
@@ -38,6 +42,7 @@
         this.proxy = proxy;
         this.most = most;
         this.mostKnown = mostKnown;
+        this.loop = loop;
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -89,10 +94,26 @@
         if (!s.askedAgain) {
             askedOnce.add(s);
         }
-        if (all.size() - strangers.size() > mostKnown) {
-            ClientSession least = leastMissed();
-            left(least);
-            least.close();
+        if (tooManyKnown() && !trimming) {
+            // not at once: what is read along with the last command may still be in the decoder
+            trimming = true;
+            loop.execute(this::trim);
+        }
+    }
+
+    private boolean tooManyKnown() {
+        return all.size() - strangers.size() > mostKnown;
+    }
+
+    /** Those that have come back are spared: a new connection for each request costs more than it frees. */
+    private void trim() {
+        trimming = false;
+        long now = proxy.now();
+        ClientSession s = first(askedOnce);
+        while (s != null && tooManyKnown() && now - s.idleUs > STAYS_US) {
+            left(s); // it still counts until it has ended: descriptors are bounded
+            s.close();
+            s = first(askedOnce);
         }
     }
 
@@ -133,6 +154,7 @@
     }
 
     private void sweep() {
+        trim();
         long now = proxy.now();
         for (ClientSession s; (s = first(halfSaid)) != null && now - s.halfSaidUs > HALF_SAID_US;) {
             halfSaid.remove(s);
--- a/src/test/java/holdproxy/net/BadClientsTest.java
+++ b/src/test/java/holdproxy/net/BadClientsTest.java
@@ -111,6 +111,21 @@
         }
     }
 
+    /** Danger: a connection closed for room in the middle of a read loses what the decoder still has of it. */
+    @Test
+    void commandsReadTogetherAreAllAnsweredAlsoWhereRoomIsMade() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s, 128)) { // 32 of them are for clients that have asked
+            for (int i = 0; i < 38; i++) {
+                Peer p = f.client();
+                p.send("mn\r\nmn\r\nmn\r\n");
+                p.expect("MN", "MN", "MN");
+            }
+            Peer last = f.client();
+            last.send("mn\r\nmg x\r\nmn\r\n");
+            last.expect("MN", "CLIENT_ERROR O and P are needed", "MN");
+        }
+    }
+
     /** Danger: passed on, it could bring one client the value that was made for another. */
     @Test
     void theIdOfAnotherOpenRequestIsTurnedAwayAndMayBeUsedOnceThatHasEnded() throws Exception {
--- a/src/test/java/holdproxy/net/Peer.java
+++ b/src/test/java/holdproxy/net/Peer.java
@@ -82,12 +82,13 @@
     /** A listening socket whose connections wait for the test to take them. */
     static final class Listener implements Closeable {
         private final ServerSocket server;
+        private final Thread thread;
         private final BlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
         private final List<Peer> all = new CopyOnWriteArrayList<>();
 
         Listener() throws IOException {
             server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
-            Thread thread = new Thread(this::accept, "listener");
+            thread = new Thread(this::accept, "listener");
             thread.setDaemon(true);
             thread.start();
         }
@@ -128,6 +129,11 @@
         @Override
         public void close() throws IOException {
             server.close();
+            try {
+                thread.join(); // until then it may still take a connection, and hold it in silence
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
             for (Peer p : all) {
                 p.close();
             }
