--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -1,6 +1,7 @@
 package holdproxy.net;
 
 import io.netty.channel.EventLoop;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -35,6 +36,8 @@
     /** Those between requests, the longest idle first; of them, those that have asked only once so far. */
     private final Set<ClientSession> idle = new LinkedHashSet<>();
     private final Set<ClientSession> askedOnce = new LinkedHashSet<>();
+    /** Those being closed to let others come; their descriptors count until they have ended. */
+    private final Set<ClientSession> leaving = new HashSet<>();
     /** Those inside a command, by when it began. */
     private final Set<ClientSession> halfSaid = new LinkedHashSet<>();
 
@@ -102,7 +105,7 @@
     }
 
     private boolean tooManyKnown() {
-        return all.size() - strangers.size() > mostKnown;
+        return all.size() - strangers.size() - leaving.size() > mostKnown;
     }
 
     /** Those that have come back are spared: a new connection for each request costs more than it frees. */
@@ -111,7 +114,8 @@
         long now = proxy.now();
         ClientSession s = first(askedOnce);
         while (s != null && tooManyKnown() && now - s.idleUs > STAYS_US) {
-            left(s); // it still counts until it has ended: descriptors are bounded
+            left(s);
+            leaving.add(s);
             s.close();
             s = first(askedOnce);
         }
@@ -142,6 +146,7 @@
         all.remove(s);
         strangers.remove(s);
         left(s);
+        leaving.remove(s);
         halfSaid.remove(s);
     }
 
