Close connections that asked once after 0.08 s where clients are short of places

To blame: STAYS_US in Admission, 0.25 s, longer than clients there can wait for a place. Connections that have been used again are spared as before.

--- a/src/main/java/holdproxy/net/Admission.java
+++ b/src/main/java/holdproxy/net/Admission.java
@@ -22,7 +22,7 @@
     /** A connection between requests may go after 2 s; most clients come back within these. */
     private static final long IDLE_US = 10_000_000;
     /** Where clients are short of connections, one that waits for a request gets it sooner than this. */
-    private static final long STAYS_US = 250_000;
+    private static final long STAYS_US = 80_000;
     private static final long SWEEP_MS = 200;
 
     private final Proxy proxy;
