--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -17,11 +17,17 @@
     // second outran the fading and filled a bucket.
     static final double PI = 0.002;
     static final double PD_SHARE = 0.01;
-    // A step is such that this many seconds of a tenant's own failures would fill a bucket.
-    static final double EVIDENCE_S = 2.5;
+    // A step is such that this many seconds of a tenant's own failures would fill a bucket: so many for each
+    // unit of worth that a late answer keeps, at least the least. Where steps and fading are in balance the
+    // part that fails is the chance x this / the fading time: what is late for nothing must be rare.
+    static final double EVIDENCE_S = 5;
+    static final double EVIDENCE_LEAST_S = 0.16;
+    // Up to the chance that brings a tenant down to its quota a step is this much larger: refused there is
+    // what its settings hold cheap. Without it 16% of attempts had to fail to keep such a tenant out.
+    static final double EXCESS_WEIGHT = 10;
     static final double PI_MOST = 0.8;
     // Redemption: a chance fades by 1/e in this time, so that a refused tenant is tried again within seconds.
-    static final double TENANT_FADE_US = 10e6;
+    static final double TENANT_FADE_US = 3e6;
     static final double NODE_FADE_US = 5e6;
     // A quiet proxy comes by a node rarely: what it learnt there has to last for about this many visits.
     static final double NODE_FADE_VISITS = 2;
@@ -561,8 +567,16 @@
         }
         r.blamed |= failure;
         double rate = admitted[r.tenant].get(now) / RATE_US * 1e6;
-        double step = Math.max(PI, Math.min(PI_MOST, 1 / (rate * EVIDENCE_S + 1e-9)));
-        step *= failure ? overQuota(r.tenant, now) * share : -PD_SHARE;
+        double evidence = Math.max(EVIDENCE_LEAST_S, EVIDENCE_S * r.type.lateWorth);
+        double step = Math.max(PI, Math.min(PI_MOST, 1 / (rate * evidence + 1e-9)));
+        if (failure) {
+            double toQuota = excess(r.tenant, now) - live.min(r.tenant, now);
+            double up = overQuota(r.tenant, now);
+            step *= share;
+            step = Math.max(step * up, Math.min(step * EXCESS_WEIGHT, toQuota));
+        } else {
+            step *= -PD_SHARE;
+        }
         live.add(r.tenant, step, CHANCE_MOST, now);
         shadow.add(r.tenant, step, CHANCE_MOST, now);
     }
@@ -579,11 +593,22 @@
     }
 
     private double quotaRatio(int tenant, long now) {
-        if (tenant >= set.tenants.length || set.tenants[tenant].quotaPerS <= 0) {
-            return 1;
-        }
-        double due = set.tenants[tenant].quotaPerS / set.routers * RATE_US / 1e6;
-        return (asked[tenant].get(now) + QUOTA_DOUBT) / (due + QUOTA_DOUBT);
+        double due = dueOf(tenant);
+        return due == 0 ? 1 : (asked[tenant].get(now) + QUOTA_DOUBT) / (due + QUOTA_DOUBT);
+    }
+
+    /** The part of what a tenant asks here that is beyond its quota, short of one standard error of doubt. */
+    private double excess(int tenant, long now) {
+        double due = dueOf(tenant);
+        double sure = asked[tenant].get(now);
+        sure -= Math.sqrt(sure);
+        return due == 0 || sure <= due ? 0 : 1 - due / sure;
+    }
+
+    /** A tenant's quota here, in the time over which requests are counted; 0: none is stated. */
+    private double dueOf(int tenant) {
+        boolean stated = tenant < set.tenants.length && set.tenants[tenant].quotaPerS > 0;
+        return stated ? set.tenants[tenant].quotaPerS / set.routers * RATE_US / 1e6 : 0;
     }
 
     // ---- the rest ----
