Levels of the tenants' table hash apart; the balance of refusals has a test

Found by the new test: Blue's levels stepped through one table, so two tenants shared all of them with chance 1 in 2,048, not 64^-3.

--- a/src/main/java/holdproxy/Blue.java
+++ b/src/main/java/holdproxy/Blue.java
@@ -4,6 +4,8 @@
 
 /** FAIR's table: levels x buckets, each a value and its last update; values fade exponentially with time. */
 final class Blue {
+    /** Hash bits for a level: three levels of up to 2^20 buckets. */
+    private static final int LEVEL_BITS = 20;
     private final int levels;
     private final int buckets;
     private double fadeUs;
@@ -36,10 +38,12 @@
         return value == 0 ? 0 : value * Math.exp((since - now) / fadeUs);
     }
 
-    /** Kirsch and Mitzenmacher: one hash gives the buckets of all levels. */
+    /**
+     * Each level has bits of its own. Steps through one small table (Kirsch and Mitzenmacher) had two tenants
+     * share all levels with chance 1 in 2,048, not 64^-3: then the heavy one's refusals were the other's.
+     */
     private int bucket(long hash, int level) {
-        int h = (int) hash + level * ((int) (hash >>> 32) | 1);
-        return level * buckets + (h & buckets - 1);
+        return level * buckets + ((int) (hash >>> level * LEVEL_BITS) & buckets - 1);
     }
 
     double min(long id, long now) {
--- /dev/null
+++ b/src/test/java/holdproxy/QuotaBalanceTest.java
@@ -0,0 +1,178 @@
+package holdproxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Where refusals, steps and fading come to rest: a fleet that fails whatever is sent beyond its capacity, one tenant
+ * at three times its quota and four within theirs. Capacity is 1.15 times all quotas, so that nothing within a quota
+ * has to be refused.
+ */
+class QuotaBalanceTest {
+    private static final long MS = Fixture.MS;
+    private static final long S = Fixture.S;
+    private static final int SEEDS = 40;
+    private static final double[] QUOTA = {43, 14, 14, 14, 14};
+    private static final double[] USE = {3, 0.8, 0.8, 0.8, 0.8};
+    private static final double CAPACITY = 1.15 * 99;
+    private static final long LEARNS_US = 10 * S;
+    private static final long ENDS_US = 40 * S;
+
+    /** What came of it after the first 10 s: by tenant, requests asked, served and failed. */
+    private static final class Balance {
+        final double[] asked = new double[QUOTA.length];
+        final double[] served = new double[QUOTA.length];
+        double failed;
+        double sent;
+
+        /** Served of what is within the quota. */
+        double within(int tenant) {
+            return served[tenant] / Math.min(asked[tenant], QUOTA[tenant] * (ENDS_US - LEARNS_US) / S);
+        }
+    }
+
+    private static Router.Settings settings(double lateWorth) {
+        Router.Settings s = Fixture.settings(Router.Effect.SAFE);
+        s.routers = 1;
+        s.secondCopies = false;
+        s.maxAttempts = 1;
+        s.classes[0].lateWorth = lateWorth;
+        s.tenants = new Router.Tenant[QUOTA.length];
+        for (int i = 0; i < QUOTA.length; i++) {
+            s.tenants[i] = new Router.Tenant();
+            s.tenants[i].quotaPerS = QUOTA[i];
+        }
+        return s;
+    }
+
+    private static Balance run(long seed, double lateWorth) {
+        Fixture f = new Fixture();
+        Choice p = f.choice(settings(lateWorth), seed, Fixture.nodes(10));
+        SplittableRandom random = new SplittableRandom(seed);
+        Balance b = new Balance();
+        double rate = 0;
+        for (int i = 0; i < QUOTA.length; i++) {
+            rate += QUOTA[i] * USE[i];
+        }
+        double load = 0;
+        long last = 0;
+        long id = 0;
+        for (long now = 0; now < ENDS_US; now += (long) (-Math.log(1 - random.nextDouble()) / rate * S)) {
+            int tenant = 0;
+            for (double x = random.nextDouble() * rate; (x -= QUOTA[tenant] * USE[tenant]) > 0;) {
+                tenant++;
+            }
+            Router.Request q = Fixture.request(++id, random.nextLong(), now + 600 * MS);
+            q.tenant = tenant;
+            f.sent.clear();
+            f.timers.clear();
+            f.all.clear();
+            p.onRequest(now, q, f);
+            boolean counts = now >= LEARNS_US;
+            b.asked[tenant] += counts ? 1 : 0;
+            // requests a second over the last one, and what they are beyond capacity fails
+            load *= Math.exp((last - now) / (double) S);
+            last = now;
+            if (f.sent.isEmpty()) {
+                continue;
+            }
+            load += 1;
+            boolean fails = random.nextDouble() < 1 - CAPACITY / load;
+            b.sent += counts ? 1 : 0;
+            b.failed += counts && fails ? 1 : 0;
+            b.served[tenant] += counts && !fails ? 1 : 0;
+            f.outcome(p, now, id, 0, fails ? Router.Outcome.TIMEOUT : Router.Outcome.OK);
+        }
+        return b;
+    }
+
+    /** Danger: a balance in which a sixth of what is sent fails, for tenants within their quota too. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.5})
+    void whoIsWithinItsQuotaIsServedAndLittleFails(double lateWorth) {
+        double failed = 0;
+        double sent = 0;
+        double[] within = new double[QUOTA.length];
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Balance b = run(seed, lateWorth);
+            failed += b.failed;
+            sent += b.sent;
+            for (int i = 0; i < within.length; i++) {
+                within[i] += b.within(i) / SEEDS;
+                assertTrue(b.within(i) > 0.75, "seed " + seed + ", tenant " + i + ": " + b.within(i));
+            }
+        }
+        assertTrue(failed / sent < 0.08, failed / sent + " of what was sent failed");
+        assertTrue(within[0] > 0.9, "the one beyond its quota had of it " + within[0]);
+        for (int i = 1; i < within.length; i++) {
+            assertTrue(within[i] > 0.9, "tenant " + i + " had " + within[i]);
+        }
+    }
+
+    /** What is late for nothing has to be rarer than what still earns a half. */
+    @Test
+    void lessFailsWhereLateAnswersAreWorthless() {
+        double worthless = 0;
+        double half = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Balance none = run(seed, 0);
+            Balance some = run(seed, 0.5);
+            worthless += none.failed / none.sent / SEEDS;
+            half += some.failed / some.sent / SEEDS;
+        }
+        assertTrue(worthless < 0.8 * half, worthless + " and " + half);
+    }
+
+    /** The chance of refusal after one failure of a tenant that asked so much in a second. */
+    private static double chanceAfterOneFailure(int tenant, int asked, double lateWorth) {
+        int refused = 0;
+        for (int seed = 1; seed <= 400; seed++) {
+            Fixture f = new Fixture();
+            Choice p = f.choice(settings(lateWorth), seed, Fixture.nodes(10));
+            for (int i = 0; i < asked + 20; i++) {
+                Router.Request q = Fixture.request(i, Blue.mix(i), 2 * S);
+                q.tenant = tenant;
+                if (i == asked) {
+                    f.outcome(p, S, 0, 0, Router.Outcome.TIMEOUT);
+                    f.refused.clear();
+                }
+                p.onRequest(S, q, f);
+            }
+            refused += f.refused.size();
+        }
+        return refused / (400 * 20.0);
+    }
+
+    /** One failure of a tenant that is well beyond its quota goes a long way, but not beyond the quota. */
+    @Test
+    void aFailureCountsForMoreUpToTheQuota() {
+        double little = chanceAfterOneFailure(0, 430, 0);
+        double much = chanceAfterOneFailure(0, 1300, 0);
+        assertEquals(0.48, much, 0.04);
+        assertTrue(little < 0.2, "at its quota: " + little);
+        assertEquals(0.5, chanceAfterOneFailure(0, 860, 0), 0.04, "twice the quota: down to it in one step");
+    }
+
+    /** The quota is 140 in the time that is counted: 150 may be chance, and one failure then says little. */
+    @Test
+    void whatMayBeChanceIsNotBeyondTheQuota() {
+        double chance = chanceAfterOneFailure(1, 150, 0.5);
+        assertTrue(chance < 0.045, "one step of 0.03, not up to the 0.067 beyond: " + chance);
+    }
+
+    @Test
+    void theLoadIsWhatItIsSaidToBe() {
+        assertTrue(Arrays.stream(QUOTA).sum() < CAPACITY, "all quotas fit");
+        double asked = 0;
+        for (int i = 0; i < QUOTA.length; i++) {
+            asked += QUOTA[i] * USE[i];
+        }
+        assertTrue(asked > 1.3 * CAPACITY, "and all that is asked does not");
+    }
+}
