A whole second proxy rehearses before the first listens: no stall at the first burst

Change: Rehearsal runs 72 requests of all classes through a Proxy of its own (listener, sessions, module, pools, decoders, timers, a busy node, new connections) over Unix sockets in place of the two warm-ups, which ran codecs and greetings alone.

--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -23,6 +23,7 @@
 /** What this proxy is told at its start, checked: anything missing or malformed is a {@link BadInput}. */
 final class Config {
     private static final int MOST_NAMED = 20;
+    private static final String SETTINGS = "settings.";
     /** Where the settings state none. */
     private static final long DIAL_US = 1_000_000;
 
@@ -72,12 +73,39 @@
         }
         zones = list(raw, "localities");
         kinds = list(raw, "kinds");
-        pairs.forEach((path, value) -> fixed.put("settings." + path, value));
+        pairs.forEach((path, value) -> fixed.put(SETTINGS + path, value));
         fixed.put("seed", Long.toHexString(seed));
         fixed.put("limits.sockets", Integer.toString(sockets));
         fixed.put("limits.node_connections", Integer.toString(nodeConnections));
     }
 
+    /** For {@link Rehearsal}: the same settings, nobody to ask for nodes and none known. */
+    private Config(Config other) {
+        name = other.name;
+        listen = other.listen;
+        discovery = other.discovery;
+        seed = other.seed;
+        sockets = other.sockets;
+        nodeConnections = other.nodeConnections;
+        zones = other.zones;
+        kinds = other.kinds;
+        known = Map.of("version", 0, "full", true, "servers", List.of());
+        digest = null;
+        Map<String, String> pairs = new HashMap<>();
+        other.fixed.forEach((path, value) -> {
+            if (path.startsWith(SETTINGS)) {
+                pairs.put(path.substring(SETTINGS.length()), value);
+            }
+        });
+        settings = new SettingsText(pairs).settings();
+        settings.dialTimeoutUs = other.settings.dialTimeoutUs;
+        settings.askForNodes = false;
+    }
+
+    Config rehearsal() {
+        return new Config(this);
+    }
+
     private static int limit(Map<String, Object> limits, String name, int least) {
         if (limits.get(name) instanceof Number n && n.intValue() >= least) {
             return n.intValue();
--- a/src/main/java/holdproxy/net/Discovery.java
+++ b/src/main/java/holdproxy/net/Discovery.java
@@ -26,6 +26,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -76,7 +77,7 @@
     private static final int OLDER_RETRY_MS = 150;
 
     /** An entry of a list with the address and name that the module does not need. */
-    record Entry(Router.Node node, String name, InetSocketAddress address) {
+    record Entry(Router.Node node, String name, SocketAddress address) {
     }
 
     private final Proxy proxy;
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.util.concurrent.Future;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 
 /** One connection to a cache node, with the attempts on it in the order of their answers. */
@@ -14,7 +14,7 @@
     private static final long STALL_US = 300_000;
 
     final NodePool pool;
-    final InetSocketAddress to;
+    final SocketAddress to;
     private final Answer.Decoder decoder;
     private final ArrayDeque<Attempt> line = new ArrayDeque<>();
     private Channel channel;
@@ -34,7 +34,7 @@
     private Future<?> dial;
 
     /** {@code to}: where it is dialled. */
-    NodeConnection(NodePool pool, InetSocketAddress to, Answer.Decoder decoder) {
+    NodeConnection(NodePool pool, SocketAddress to, Answer.Decoder decoder) {
         this.pool = pool;
         this.to = to;
         this.decoder = decoder;
--- a/src/main/java/holdproxy/net/NodePool.java
+++ b/src/main/java/holdproxy/net/NodePool.java
@@ -1,7 +1,7 @@
 package holdproxy.net;
 
 import io.netty.util.concurrent.Future;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,7 +14,7 @@
 
     final NodePools pools;
     final String name;
-    InetSocketAddress address;
+    SocketAddress address;
     /** Its node takes nothing new: a connection that comes back from its last answer would only be held. */
     private boolean left;
     private final List<NodeConnection> all = new ArrayList<>();
@@ -24,7 +24,7 @@
     private final ArrayDeque<NodeConnection> doubtful = new ArrayDeque<>();
     private final Map<NodeConnection, Future<?>> idleTimers = new HashMap<>();
 
-    NodePool(NodePools pools, String name, InetSocketAddress address) {
+    NodePool(NodePools pools, String name, SocketAddress address) {
         this.pools = pools;
         this.name = name;
         this.address = address;
@@ -128,7 +128,7 @@
         List.copyOf(all).forEach(NodeConnection::dropUnsent);
     }
 
-    void listed(InetSocketAddress now) {
+    void listed(SocketAddress now) {
         left = false;
         if (!address.equals(now)) {
             address = now;
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -8,7 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -57,7 +57,7 @@
     }
 
     /** The list names this node: it may be sent to, at this address. */
-    void put(int id, String name, InetSocketAddress address) {
+    void put(int id, String name, SocketAddress address) {
         NodePool pool = byId.get(id);
         if (pool == null) {
             byId.put(id, new NodePool(this, name, address));
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -3,6 +3,7 @@
 import holdproxy.BadInput;
 import holdproxy.Choice;
 import holdproxy.Router;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -68,6 +69,7 @@
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     /** Greetings that wait for an answer. */
     private final ArrayDeque<Runnable> greetings = new ArrayDeque<>();
+    private boolean retired;
     private boolean ready;
     private boolean begun;
     /** Events that wait until what came during a pause is read, and after what pause they do. */
@@ -134,8 +136,7 @@
 
     void warmUp() {
         try {
-            loop.submit(() -> Warmup.run(this, config, names)).await();
-            SocketWarmup.run(loop, listener.clients(), log);
+            Rehearsal.run(config, loop, log);
         } catch (InterruptedException e) {
             throw new BadInput("interrupted");
         }
@@ -169,6 +170,18 @@
         return listener.open();
     }
 
+    /** On the loop: as a proxy that serves, but for listening and discovery; for {@link Rehearsal}. */
+    ChannelHandler rehearses(List<Discovery.Entry> nodes) {
+        tick();
+        nodes(Router.ListKind.FULL, nodes);
+        return listener.clients();
+    }
+
+    /** On the loop: no timer does anything any more. */
+    void retire() {
+        retired = true;
+    }
+
     Command.Decoder decoder() {
         return new Command.Decoder(names, coming);
     }
@@ -298,14 +311,18 @@
 
     /** Runs a task on the loop later; what it throws is said and goes no further. */
     Future<?> after(long us, Runnable task) {
-        return loop.schedule(() -> safely(task), Math.max(0, us), TimeUnit.MICROSECONDS);
+        return loop.schedule(() -> {
+            if (!retired) {
+                safely(task);
+            }
+        }, Math.max(0, us), TimeUnit.MICROSECONDS);
     }
 
     // ---- client connections ----
 
     /** The front sends clients to what has answered its greeting: not before a node can serve them. */
     void greet(ClientSession session, ClientSession.Slot slot) {
-        // before it listens only the warm-up asks
+        // before it listens only the rehearsal asks
         if (ready || !begun || greetings.size() >= MOST_GREETINGS) {
             session.answer(slot, "MN");
         } else {
--- /dev/null
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -0,0 +1,236 @@
+package holdproxy.net;
+
+import holdproxy.Router;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.util.concurrent.Promise;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a first burst of requests would find uncompiled, run before the proxy listens: a second proxy on the
+ * same loop, with the same settings and a module of its own, serves made-up clients from made-up nodes. On
+ * part of a core the first clients, who come all at once, else wait for half a second, and what they ask runs
+ * out of time.
+ *
+ * <p>Over Unix domain sockets: the code that reads, writes, accepts and connects is the same, and the proxy
+ * is to listen on no other address than its own. Nothing of it reaches discovery, a node or the log.
+ */
+final class Rehearsal {
+    /** Compiled after 20 calls (the deploy file sets that); more, for what not every request does. */
+    static final int REQUESTS = 72;
+    private static final int CLIENTS = 4;
+    /** After so many a client opens a new connection. */
+    private static final int ON_ONE = 4;
+    private static final int NODES = 3;
+    private static final int MOST_MS = 2_000;
+    /** One in so many is answered {@code busy} by its node and goes on to another. */
+    private static final int ONE_BUSY_IN = 30;
+
+    private final EventLoop loop;
+    private final Proxy proxy;
+    private final Router.Settings settings;
+    private final SocketAddress clientsAt;
+    private final SocketAddress nodesAt;
+    private final Promise<Void> done;
+    private final List<Channel> listening = new ArrayList<>();
+    private final List<Channel> open = new ArrayList<>();
+    private int asked;
+    private int answered;
+    private int atNodes;
+
+    private Rehearsal(Config config, EventLoop loop, Path folder) {
+        this.loop = loop;
+        settings = config.settings;
+        clientsAt = UnixDomainSocketAddress.of(folder.resolve("c"));
+        nodesAt = UnixDomainSocketAddress.of(folder.resolve("n"));
+        done = loop.newPromise();
+        Machine machine = new Machine(NioDomainSocketChannel::new, NioServerDomainSocketChannel::new,
+            System::currentTimeMillis);
+        proxy = new Proxy(config, loop, machine, new Log(System::nanoTime, line -> { }), module -> module);
+    }
+
+    /** Not on the loop: waits for it. Without such sockets the proxy only starts slower. */
+    static int run(Config config, EventLoop loop, Log log) throws InterruptedException {
+        Path folder = null;
+        try {
+            folder = Files.createTempDirectory("holdproxy");
+            return run(config.rehearsal(), loop, folder);
+        } catch (IOException | UnsupportedOperationException e) {
+            log.line("starting without a rehearsal: " + e);
+            return 0;
+        } finally {
+            remove(folder);
+        }
+    }
+
+    private static int run(Config config, EventLoop loop, Path folder)
+            throws InterruptedException, IOException {
+        Promise<Rehearsal> made = loop.newPromise();
+        loop.execute(() -> {
+            try {
+                made.setSuccess(new Rehearsal(config, loop, folder));
+            } catch (RuntimeException e) {
+                made.setFailure(e);
+            }
+        });
+        if (!made.await().isSuccess()) {
+            throw new IOException(made.cause());
+        }
+        Rehearsal r = made.getNow();
+        try {
+            loop.submit(r::begin).await();
+            r.done.await(MOST_MS);
+        } finally {
+            loop.submit(r::end).await();
+        }
+        if (r.done.isDone() && !r.done.isSuccess()) {
+            throw new IOException(r.done.cause());
+        }
+        return r.answered;
+    }
+
+    private static void remove(Path folder) {
+        try {
+            if (folder != null) {
+                Files.deleteIfExists(folder.resolve("c"));
+                Files.deleteIfExists(folder.resolve("n"));
+                Files.delete(folder);
+            }
+        } catch (IOException e) {
+            // a folder of temporary files keeps one more
+        }
+    }
+
+    private void begin() {
+        List<Discovery.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            Router.Node node = new Router.Node();
+            node.id = i;
+            entries.add(new Discovery.Entry(node, "rehearsal-" + i, nodesAt));
+        }
+        listen(nodesAt, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                open.add(ch);
+                ch.pipeline().addLast(new Node());
+            }
+        });
+        listen(clientsAt, proxy.rehearses(entries));
+        for (int i = 0; i < CLIENTS; i++) {
+            connect();
+        }
+    }
+
+    private void listen(SocketAddress at, ChannelHandler handler) {
+        listening.add(new ServerBootstrap().group(loop, loop).channel(NioServerDomainSocketChannel.class)
+            .childHandler(handler).bind(at).addListener((ChannelFutureListener) f -> {
+                if (!f.isSuccess()) {
+                    done.tryFailure(f.cause());
+                }
+            }).channel());
+    }
+
+    private void connect() {
+        new Bootstrap().group(loop).channel(NioDomainSocketChannel.class).handler(new Client())
+            .connect(clientsAt);
+    }
+
+    private void end() {
+        proxy.retire();
+        listening.forEach(Channel::close);
+        List.copyOf(open).forEach(Channel::close); // and with them the proxy's ends
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    }
+
+    /** The classes take turns, with a greeting now and then. */
+    private String command() {
+        int i = asked++;
+        if (i % 7 == 6) {
+            return "mn\r\n";
+        }
+        Router.RequestClass c = settings.classes[i % settings.classes.length];
+        int tenants = settings.tenants.length;
+        String tenant = tenants > 0 ? ",t=" + settings.tenants[i % tenants].name : "";
+        long waitMs = Math.max(1, c.deadlineUs / 1000);
+        String fields = "O" + (1000 + i) + " Pc=" + c.name + tenant + ",d=" + waitMs;
+        return c.effect == Router.Effect.SAFE ? "mg 0123456789abcde" + i % 10 + " v " + fields + "\r\n"
+            : "ms 0123456789abcde" + i % 10 + " 5 " + fields + ",k=" + i + "\r\nhello\r\n";
+    }
+
+    /** Asks a few times, then once more on a new connection, until enough were asked in all. */
+    private final class Client extends SimpleChannelInboundHandler<ByteBuf> {
+        private int here;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            open.add(ctx.channel());
+            ask(ctx);
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            if (asked >= REQUESTS) {
+                done.trySuccess(null);
+            } else if (here++ < ON_ONE) {
+                ctx.writeAndFlush(bytes(command()));
+            } else {
+                ctx.close();
+                connect();
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf answer) {
+            // small answers, written whole: one read each
+            answered += answer.getByte(answer.readerIndex()) == 'S' ? 0 : 1;
+            ask(ctx);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            open.remove(ctx.channel());
+        }
+    }
+
+    /** Serves what it is asked, one read a command. */
+    private final class Node extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf command) {
+            String text = command.toString(StandardCharsets.ISO_8859_1);
+            int id = text.indexOf(" O") + 1;
+            String opaque = text.substring(id, text.indexOf(' ', id));
+            if (atNodes++ % ONE_BUSY_IN == ONE_BUSY_IN - 1) {
+                ctx.writeAndFlush(bytes("SERVER_ERROR busy\r\n"));
+            } else if (text.startsWith("mg")) {
+                ctx.writeAndFlush(bytes("VA 5 " + opaque + " h1\r\nhello\r\n"));
+            } else {
+                ctx.writeAndFlush(bytes("HD " + opaque + " cabc\r\n"));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            open.remove(ctx.channel());
+        }
+    }
+}
--- a/src/test/java/holdproxy/net/ProcessTest.java
+++ b/src/test/java/holdproxy/net/ProcessTest.java
@@ -201,13 +201,8 @@
     }
 
     @Test
-    void sigtermInTheWarmUpEndsItAsUsual() throws Exception {
-        termAt("holdproxy.net.Warmup");
-    }
-
-    @Test
-    void sigtermInTheWarmUpOfSocketsEndsItAsUsual() throws Exception {
-        termAt("holdproxy.net.SocketWarmup");
+    void sigtermInTheRehearsalEndsItAsUsual() throws Exception {
+        termAt("holdproxy.net.Rehearsal");
     }
 
     /** It waits up to 3 s for the one before it to give up the address. */
--- /dev/null
+++ b/src/test/java/holdproxy/net/RehearsalTest.java
@@ -0,0 +1,74 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Danger: a start that hangs in its rehearsal, runs none of it, or lets some of it reach the real world. */
+@Timeout(60)
+class RehearsalTest {
+    private static List<Path> folders() throws Exception {
+        try (Stream<Path> all = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
+            return all.filter(f -> f.getFileName().toString().startsWith("holdproxy")).toList();
+        }
+    }
+
+    @Test
+    void aWholeProxyServesMadeUpRequestsOfAllClasses() throws Exception {
+        List<String> log = new ArrayList<>();
+        try (Fixture f = new Fixture(1)) {
+            int served = Rehearsal.run(f.config, f.loop, new Log(System::nanoTime, log::add));
+            assertTrue(served > Rehearsal.REQUESTS * 2 / 3, "served " + served + " " + log);
+            assertEquals(List.of(), log);
+            assertEquals(0, f.nodes.get(0).count(), "a real node was asked");
+        }
+    }
+
+    @Test
+    void theProxyItselfKnowsNothingOfIt() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Rehearsal.run(f.config, f.loop, Fixture.log());
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000));
+            Peer node = f.nodes.get(0).next();
+            assertTrue(node.line().contains(" Oa1 "));
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+            f.proxy.held().forEach((what, held) -> assertEquals(0, held, what));
+        }
+    }
+
+    /** Whatever the settings: a class that is refused or unknown to it must not hold the start. */
+    @Test
+    void itEndsWhereNothingCanBeServed() throws Exception {
+        try (Fixture f = new Fixture(1, s -> s.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":1.0")
+                .replace("\"targetMs\":750.0", "\"targetMs\":1.0"), 1024)) {
+            Rehearsal.run(f.config, f.loop, Fixture.log());
+            f.client().send("mn\r\n");
+        }
+    }
+
+    /** Danger: a proxy that is restarted often fills the folder of temporary files, which counts as memory. */
+    @Test
+    void nothingIsLeftOfIt() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            List<Path> before = folders();
+            Rehearsal.run(f.config, f.loop, Fixture.log());
+            List<Path> left = new ArrayList<>(folders());
+            left.removeAll(before);
+            // its own: beside another run the folder of temporary files is shared
+            for (Path folder : left) {
+                try (Stream<Path> files = Files.list(folder)) {
+                    assertEquals(List.of(), files.filter(p -> p.getFileName().toString().length() == 1).toList());
+                }
+            }
+        }
+    }
+}
