--- a/src/main/java/holdproxy/net/Rehearsal.java
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -34,8 +34,8 @@
  * is to listen on no other address than its own. Nothing of it reaches discovery, a node or the log.
  */
 final class Rehearsal {
-    /** Compiled after 20 calls (the deploy file sets that); more, for what not every request does. */
-    static final int REQUESTS = 72;
+    /** Compiled after 60 calls (the deploy file sets that); more, for what not every request does. */
+    static final int REQUESTS = 84;
     private static final int CLIENTS = 4;
     /** After so many a client opens a new connection. */
     private static final int ON_ONE = 4;
