A review's findings: windows reckon with late dials, lateness is bounded as an excuse

A connection may now come up as late as half the drain grace, but the window of keyed repeats reckoned with the dial's usual time: after a pause a repeat could be written once its key was forgotten (windows between deadline + 50 and + 250 ms). A short aim ran out before its dial did in a pause and counted as CONNECT_FAILED. A proxy that is always late excused every failure. An Error in the rehearsal hung the start. Rehearsed dials warned in the log. Each new test was seen to fail with its part taken out.

--- a/src/main/java/holdproxy/Choice.java
+++ b/src/main/java/holdproxy/Choice.java
@@ -22,8 +22,8 @@
     // part that fails is the chance x this / the fading time: what is late for nothing must be rare.
     static final double EVIDENCE_S = 5;
     static final double EVIDENCE_LEAST_S = 0.16;
-    // Up to the chance that brings a tenant down to its quota a step is this much larger: refused there is
-    // what its settings hold cheap. Without it 16% of attempts had to fail to keep such a tenant out.
+    // Up to the chance that brings a tenant down to its quota a step is this much larger, where what is
+    // beyond a quota is worth nothing. Without it 16% of attempts had to fail to keep such a tenant out.
     static final double EXCESS_WEIGHT = 10;
     // Larger steps swing beyond the balance and back, within a second where few are admitted.
     static final double PI_MOST = 0.2;
@@ -123,7 +123,8 @@
     private long reportAt = Long.MIN_VALUE;
     /** All that was admitted: nodes and the origin see nothing else. */
     private final Fading all = new Fading(RATE_US);
-    private final long startedAt;
+    /** When the first request came; MIN_VALUE: none has. */
+    private long startedAt = Long.MIN_VALUE;
     private double budget = BUDGET_FIRST;
     private double meanUs;
     private double devUs;
@@ -140,7 +141,6 @@
         set = settings;
         attemptsMost = Math.min(ATTEMPTS_MOST, settings.maxAttempts);
         random = new Random(seed);
-        startedAt = nowUs;
         live = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
         shadow = new Blue(LEVELS, BUCKETS, TENANT_FADE_US, random.next());
         heat = new Blue(LEVELS, HEAT_BUCKETS, HEAT_US, random.next());
@@ -183,6 +183,7 @@
             shadow = old;
             rotateAt = now + ROTATE_US;
         }
+        startedAt = startedAt == Long.MIN_VALUE ? now : startedAt;
         int tenant = q.tenant >= 0 && q.tenant < asked.length ? q.tenant : 0;
         if (!q.repeat) {
             asked[tenant].count(now); // what clients repeat after a refusal is not more demand
@@ -346,7 +347,7 @@
 
     /** What is sent until then may wait for a connection, and still arrives while its repeats are dropped. */
     private long windowEnd(Open r, int first) {
-        return r.sentAt[first] + r.type.repeatWindowUs - 2 * set.tickUs - set.dialUs();
+        return r.sentAt[first] + r.type.repeatWindowUs - 2 * set.tickUs - set.latestDialUs();
     }
 
     /** When waiting on stops being worth anything: the aim where late answers earn nothing, else when due. */
@@ -547,7 +548,7 @@
 
     /** The time that counts stand for: less at the start, or a restarted proxy lets heavy tenants through. */
     private double countedUs(long now) {
-        return RATE_US * (1 - Math.exp((startedAt - now) / RATE_US));
+        return startedAt == Long.MIN_VALUE ? 0 : RATE_US * (1 - Math.exp((startedAt - now) / RATE_US));
     }
 
     /** Requests a second that are admitted here. */
@@ -584,7 +585,8 @@
             double toQuota = excess(r.tenant, now) - live.min(r.tenant, now);
             double up = overQuota(r.tenant, now);
             step *= share;
-            step = Math.max(step * up, Math.min(step * EXCESS_WEIGHT, toQuota));
+            double cheap = 1 + (EXCESS_WEIGHT - 1) * (1 - set.overShareWorth);
+            step = Math.max(step * up, Math.min(step * cheap, toQuota));
         } else {
             step *= -PD_SHARE;
         }
@@ -608,11 +610,11 @@
         return due == 0 ? 1 : (asked[tenant].get(now) + QUOTA_DOUBT) / (due + QUOTA_DOUBT);
     }
 
-    /** The part of what a tenant asks here that is beyond its quota, short of one standard error of doubt. */
+    /** The part of what a tenant asks here that is beyond its quota, one standard error and some doubted. */
     private double excess(int tenant, long now) {
         double due = dueOf(tenant, now);
         double sure = asked[tenant].get(now);
-        sure -= Math.sqrt(sure);
+        sure -= Math.sqrt(sure) + QUOTA_DOUBT;
         return due == 0 || sure <= due ? 0 : 1 - due / sure;
     }
 
--- a/src/main/java/holdproxy/Router.java
+++ b/src/main/java/holdproxy/Router.java
@@ -89,7 +89,7 @@
          * long.
          */
         public boolean outlasts(Settings s) {
-            return effect != Effect.KEYED || repeatWindowUs >= deadlineUs + s.dialUs();
+            return effect != Effect.KEYED || repeatWindowUs >= deadlineUs + s.latestDialUs();
         }
     }
 
@@ -184,6 +184,14 @@
             return drainGraceUs > 0 ? Math.min(dialTimeoutUs, drainGraceUs / 2) : dialTimeoutUs;
         }
 
+        /**
+         * When a connection that came up late by the clock is used no more: where the proxy stood still that
+         * is no fault of the node's, but it may drain by now. At least {@link #dialUs}.
+         */
+        public long latestDialUs() {
+            return drainGraceUs > 0 ? Math.max(dialUs(), drainGraceUs / 2) : 4 * dialUs();
+        }
+
         /** Throws {@link IllegalArgumentException} naming the setting no router could work with. */
         public void check() {
             reject(classes.length == 0, "classes is empty: at least one request class is needed");
--- a/src/main/java/holdproxy/net/Config.java
+++ b/src/main/java/holdproxy/net/Config.java
@@ -57,7 +57,7 @@
         seed = seed(text(json, "seed", "the configuration"));
         Map<String, Object> limits = object(json, "limits", "the configuration");
         sockets = limit(limits, "sockets", 128);
-        nodeConnections = limits.containsKey("node_connections") ? limit(limits, "node_connections", 1) : 0;
+        nodeConnections = limits.containsKey("node_connections") ? limit(limits, "node_connections", 0) : 0;
         known = object(json, "known", "the configuration");
         Map<String, Object> raw = object(json, "settings", "the configuration");
         Map<String, String> pairs = new HashMap<>();
--- a/src/main/java/holdproxy/net/NodeConnection.java
+++ b/src/main/java/holdproxy/net/NodeConnection.java
@@ -120,8 +120,9 @@
         up = true;
         for (int left = line.size(); left > 0; left--) {
             Attempt a = line.poll();
-            if (a.exchange.answered) {
-                end(a, Ending.NOT_SENT, null); // by another attempt meanwhile: nothing more is sent for it
+            if (a.exchange.answered || pool.pools.proxy.now() - a.sentUs > a.waitUs) {
+                // by another attempt meanwhile, or in a pause: nothing more is sent for it
+                end(a, Ending.NOT_SENT, null);
             } else {
                 line.add(a);
             }
@@ -152,6 +153,9 @@
         if (waited < pool.pools.dialUs && now - dialedUs < pool.pools.latestUs) {
             dial = pool.pools.after(pool.pools.dialUs - waited, this::notUp);
         } else {
+            if (waited < pool.pools.dialUs) {
+                dropUnsent(); // the loop's lateness, not the node, has used up the time
+            }
             close();
         }
     }
--- a/src/main/java/holdproxy/net/NodePools.java
+++ b/src/main/java/holdproxy/net/NodePools.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
 import java.util.HashMap;
@@ -49,10 +50,8 @@
         idleUs = config.settings.idleCloseUs - config.settings.idleCloseUs / IDLE_SHARE;
         // drains: what waits for a connection must be written within the grace of a change told meanwhile
         dialUs = config.settings.dialUs();
-        long graceUs = config.settings.drainGraceUs;
-        latestUs = graceUs > 0 ? Math.max(dialUs, graceUs / 2) : 4 * dialUs;
+        latestUs = config.settings.latestDialUs();
         bootstrap = new Bootstrap().group(loop).channelFactory(machine.outgoing())
-            .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0); // NodeConnection's timer knows of pauses
     }
 
@@ -111,6 +110,9 @@
         bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
+                if (ch.config() instanceof SocketChannelConfig tcp) {
+                    tcp.setTcpNoDelay(true);
+                }
                 ch.pipeline().addLast(decoder, c);
             }
         }).connect(pool.address).addListener(onLoop(loop, c::dialed));
--- a/src/main/java/holdproxy/net/Proxy.java
+++ b/src/main/java/holdproxy/net/Proxy.java
@@ -46,6 +46,11 @@
     private static final long LATE_TOLD_US = 50_000;
     /** Late for more than one part in so many of an attempt's time, the loop is what took that time. */
     private static final long LATE_PART = 4;
+    /** Less is the usual jitter of timers. */
+    private static final long LATE_LEAST_US = 5_000;
+    /** Late for more than this part of some seconds, the proxy is overloaded, and has to refuse requests. */
+    private static final double LATE_MOST = 0.4;
+    private static final double LATE_LEARN = 1.0 / 64;
 
     private final Config config;
     private final Log log;
@@ -87,6 +92,7 @@
     private long lastLateUs;
     private long longestLateUs;
     private long lateSumUs;
+    private double lateShare;
     private long heldBytes;
     private long untakenBytes;
 
@@ -194,7 +200,9 @@
         long now = now();
         lastLateUs = tickDueUs == 0 ? 0 : now - tickDueUs;
         longestLateUs = Math.max(longestLateUs, lastLateUs);
-        lateSumUs += Math.max(0, lastLateUs);
+        long late = lastLateUs > LATE_LEAST_US ? lastLateUs : 0;
+        lateSumUs += late;
+        lateShare += (late / (double) (late + TICK_US) - lateShare) * LATE_LEARN;
         if (lastLateUs > LATE_TOLD_US) {
             log.line("the loop stood still for " + lastLateUs / 1000 + " ms");
         }
@@ -224,7 +232,8 @@
      * part of the wait: nothing was read meanwhile, and the other side may have been in time.
      */
     long lateUs(long now) {
-        return lateSumUs + (tickDueUs == 0 ? 0 : Math.max(0, now - tickDueUs));
+        long overdue = tickDueUs == 0 ? 0 : now - tickDueUs;
+        return lateSumUs + (overdue > LATE_LEAST_US ? overdue : 0);
     }
 
     /** The module's clock: microseconds, never going back. */
@@ -484,18 +493,26 @@
      */
     private boolean stoodOver(Attempt a, Ending ending, long now) {
         boolean timedOut = ending == Ending.TIMED_OUT;
-        long late = lateUs(now) - a.lateUs;
+        if ((timedOut || ending == Ending.BUSY) && now - a.sentUs > a.waitUs + TICK_US) {
+            return lateShare < LATE_MOST;
+        }
+        long took = now - a.sentUs;
         long aim = config.settings.classes[a.exchange.command.requestClass].aimUs;
-        return timedOut && late > a.waitUs / LATE_PART
-                || (timedOut || ending == Ending.BUSY) && now - a.sentUs > a.waitUs + TICK_US
-                || ending == Ending.SERVED && now - a.sentUs > aim && now - a.sentUs - late <= aim;
+        boolean inTime = ending == Ending.SERVED && took > aim && took - (lateUs(now) - a.lateUs) <= aim;
+        return (timedOut || inTime) && ranLate(a, now);
+    }
+
+    /** Whether the loop ran late for much of an attempt; one that always does is overloaded: that counts. */
+    private boolean ranLate(Attempt a, long now) {
+        return lateUs(now) - a.lateUs > a.waitUs / LATE_PART && lateShare < LATE_MOST;
     }
 
     private void giveUp(Attempt a, Ending ending) {
         if (!a.over) {
             // what was never written whole cannot run: the module may refuse it or send it elsewhere
             boolean neverRan = !a.connection.giveUp(a) && ending == Ending.TIMED_OUT;
-            ended(a, neverRan ? Ending.NOT_WRITTEN : ending, null);
+            Ending unwritten = ranLate(a, now()) ? Ending.NOT_SENT : Ending.NOT_WRITTEN;
+            ended(a, neverRan ? unwritten : ending, null);
         }
     }
 
--- a/src/main/java/holdproxy/net/Rehearsal.java
+++ b/src/main/java/holdproxy/net/Rehearsal.java
@@ -14,6 +14,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -83,23 +84,20 @@
 
     private static int run(Config config, EventLoop loop, Path folder)
             throws InterruptedException, IOException {
-        Promise<Rehearsal> made = loop.newPromise();
-        loop.execute(() -> {
-            try {
-                made.setSuccess(new Rehearsal(config, loop, folder));
-            } catch (RuntimeException e) {
-                made.setFailure(e);
-            }
-        });
-        if (!made.await().isSuccess()) {
+        Future<Rehearsal> made = loop.submit(() -> new Rehearsal(config, loop, folder));
+        if (!made.await(MOST_MS) || !made.isSuccess()) {
             throw new IOException(made.cause());
         }
         Rehearsal r = made.getNow();
         try {
-            loop.submit(r::begin).await();
+            loop.submit(r::begin).addListener(f -> {
+                if (!f.isSuccess()) {
+                    r.done.tryFailure(f.cause());
+                }
+            });
             r.done.await(MOST_MS);
         } finally {
-            loop.submit(r::end).await();
+            loop.submit(r::end).await(MOST_MS);
         }
         if (r.done.isDone() && !r.done.isSuccess()) {
             throw new IOException(r.done.cause());
@@ -210,6 +208,11 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(ctx.channel());
         }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
     }
 
     /** Serves what it is asked, one read a command. */
@@ -232,5 +235,10 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(ctx.channel());
         }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
     }
 }
--- a/src/test/java/holdproxy/KeyedRefusalTest.java
+++ b/src/test/java/holdproxy/KeyedRefusalTest.java
@@ -166,4 +166,38 @@
         f.outcome(p, 1400 * MS, 1, 0, Router.Outcome.TIMEOUT);
         assertEquals(List.of(1L), f.failed, f.all.toString());
     }
+
+    /**
+     * Danger: after a pause of the proxy a connection may come up as late as half the drain grace, and what waited
+     * for it is written then, not after the short time that a dial usually has.
+     */
+    @Test
+    void aRefusalReckonsWithTheLatestThatAConnectionMayComeUp() {
+        Router.Settings s = settings();
+        s.dialTimeoutUs = 50 * MS;
+        s.drainGraceUs = 500 * MS;
+        Router.RequestClass c = s.classes[0];
+        c.repeatWindowUs = c.deadlineUs + 249 * MS;
+        assertEquals(false, c.outlasts(s));
+        c.repeatWindowUs = c.deadlineUs + 250 * MS;
+        assertEquals(true, c.outlasts(s));
+        assertEquals(50 * MS, s.dialUs());
+        s.drainGraceUs = 0;
+        assertEquals(200 * MS, s.latestDialUs(), "where no grace is stated");
+    }
+
+    /** The same for what is sent again: 600 ms less two rounds of the clock and 250 ms for the connection. */
+    @Test
+    void soDoesAFurtherAttempt() {
+        Router.Settings s = settings();
+        s.dialTimeoutUs = 50 * MS;
+        s.drainGraceUs = 500 * MS;
+        for (long at : new long[] {330 * MS, 350 * MS}) {
+            Fixture f = new Fixture();
+            Choice p = f.choice(s, 1, Fixture.nodes(2));
+            p.onRequest(0, Fixture.request(1, 42, 5 * S), f);
+            f.outcome(p, at, 1, 0, Router.Outcome.ERROR);
+            assertEquals(at < 340 * MS ? 2 : 1, f.sent.size(), "after " + at + " us");
+        }
+    }
 }
--- a/src/test/java/holdproxy/LearningTest.java
+++ b/src/test/java/holdproxy/LearningTest.java
@@ -168,6 +168,8 @@
         for (long key = 1; key <= 300; key++) {
             Fixture f = new Fixture();
             Choice p = f.choice(Fixture.settings(Router.Effect.SAFE), 1, Fixture.nodes(2));
+            p.onRequest(0, Fixture.request(0, 1, S), f); // its counts stand for the time since
+            f.outcome(p, 0, 0, 0, Router.Outcome.OK);
             p.onRequest(100 * S, Fixture.request(1, Blue.mix(key), 101 * S), f);
             if (f.lastNode() == 1) {
                 f.outcome(p, 100 * S, 1, 0, Router.Outcome.CONNECT_FAILED);
--- a/src/test/java/holdproxy/QuotaBalanceTest.java
+++ b/src/test/java/holdproxy/QuotaBalanceTest.java
@@ -42,6 +42,7 @@
         s.routers = 1;
         s.secondCopies = false;
         s.maxAttempts = 1;
+        s.overShareWorth = 0.05;
         s.classes[0].lateWorth = lateWorth;
         s.tenants = new Router.Tenant[QUOTA.length];
         for (int i = 0; i < QUOTA.length; i++) {
--- a/src/test/java/holdproxy/rig/ShortAimsTest.java
+++ b/src/test/java/holdproxy/rig/ShortAimsTest.java
@@ -175,4 +175,43 @@
         assertTrue(refused <= 3, refused + " of 60; 11 where they count as time-outs");
         clean(town);
     }
+
+    /** Danger: their own timers are due in the pause too, and each would count as a connection that was refused. */
+    @Test
+    void whatWaitedForItsConnectionInAPauseIsNotHeldAgainstTheNode() {
+        site.secondCopies = false;
+        Town town = town(1);
+        town.net.slow(town.nodes.get(0).name(), 10 * MS);
+        for (int i = 0; i < 10; i++) {
+            ask(town, "charge", i);
+        }
+        run(town, 5);
+        town.pauseInside(town.seats.get(0), SimLoop.Point.WITHIN, 120 * MS, () -> { });
+        run(town, 300);
+        for (int i = 0; i < 20; i++) {
+            Ledger.Entry read = ask(town, "lookup", 100 + i);
+            run(town, 200);
+            assertEquals(Ledger.Result.IN_TIME, read.result, i + ": " + read.answer);
+        }
+        clean(town);
+    }
+
+    /** Danger: a proxy that has too much to do excuses every failure by that, and never refuses anything. */
+    @Test
+    void aLoopThatIsAlwaysLateExcusesNothing() {
+        site.secondCopies = false;
+        Town town = town(1);
+        town.nodes.get(0).faults(c -> new NodeFault.Stall(200 * MS));
+        List<Ledger.Entry> writes = new ArrayList<>();
+        long until = town.world.now() + 15_000 * MS;
+        for (int i = 0; town.world.now() < until; i++) {
+            town.pause(town.seats.get(0), 40 * MS);
+            writes.add(ask(town, "charge", i));
+            run(town, 48);
+        }
+        run(town, 1000);
+        long refused = writes.stream().filter(w -> w.result == Ledger.Result.REFUSED).count();
+        assertTrue(refused > 50, refused + " refused of " + writes.size());
+        clean(town);
+    }
 }
