A dial may come up 0.2 s late, not half the grace: short repeat windows keep their use

Need: with half a grace of 1 s taken off, a window of 0.6 s left 0.09 s for repeats of keyed writes (SocketRulesTest saw two where many are meant). Change: latestDialUs is 0.2 s beyond the dial's own time and half the grace at most; 0 where no dial is stated.

--- a/src/main/java/holdproxy/Router.java
+++ b/src/main/java/holdproxy/Router.java
@@ -186,12 +186,16 @@
 
         /**
          * When a connection that came up late by the clock is used no more: where the proxy stood still that
-         * is no fault of the node's, but it may drain by now. At least {@link #dialUs}.
+         * is no fault of the node's, but it may drain by now. Not much later than {@link #dialUs}, since the
+         * windows in which repeats are dropped are shorter by this. 0: not stated.
          */
         public long latestDialUs() {
-            return drainGraceUs > 0 ? Math.max(dialUs(), drainGraceUs / 2) : 4 * dialUs();
+            long latest = dialUs() == 0 ? 0 : dialUs() + LATE_DIAL_US;
+            return drainGraceUs > 0 ? Math.max(dialUs(), Math.min(latest, drainGraceUs / 2)) : latest;
         }
 
+        private static final long LATE_DIAL_US = 200_000;
+
         /** Throws {@link IllegalArgumentException} naming the setting no router could work with. */
         public void check() {
             reject(classes.length == 0, "classes is empty: at least one request class is needed");
