The agent's test of SIGINT has one verdict, also in a script's background

Cause: a shell without job control starts background commands with SIGINT ignored; that is inherited through exec, and the JVM leaves an ignored SIGINT alone. The agent that the test began there rightly did not end on INT, and the test failed. With `sh -c 'mvn verify &'` it failed each time, in the foreground never.

A second test begins one with SIGINT ignored and holds that it stays so and that SIGTERM still ends it; the agent's documentation says it.

--- a/fleet/src/main/java/holdproxy/agent/Agent.java
+++ b/fleet/src/main/java/holdproxy/agent/Agent.java
@@ -110,7 +110,10 @@
         return new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory()).next();
     }
 
-    /** Runs one until SIGTERM or SIGINT; instances go on. Throws {@link BadInput} where it cannot. */
+    /**
+     * Runs one until SIGTERM or SIGINT; instances go on. Where it was begun with SIGINT ignored, as in a script's
+     * background, it stays ignored. Throws {@link BadInput} where it cannot.
+     */
     public static void run(Path folder) {
         try {
             String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
--- a/fleet/src/test/java/holdproxy/agent/AgentRig.java
+++ b/fleet/src/test/java/holdproxy/agent/AgentRig.java
@@ -107,13 +107,18 @@
 
     // ---- the agent ----
 
+    /** Agents begin with SIGINT ignored, as those of a script's background do. */
+    boolean ignoresInt;
+
     Process begin(String... options) throws IOException {
         return begin(":", options);
     }
 
     /** {@code before}: a shell's commands before the agent takes the shell's place. */
     Process begin(String before, String[] options) throws IOException {
-        ProcessBuilder b = new ProcessBuilder("sh", "-c", before + "; exec \"$@\"", "sh",
+        // an ignored SIGINT is inherited, as in a script's background, and the JVM keeps it so: said anew here
+        ProcessBuilder b = new ProcessBuilder("env", (ignoresInt ? "--ignore" : "--default") + "-signal=INT", "sh",
+            "-c", before + "; exec \"$@\"", "sh",
             Path.of(System.getProperty("java.home"), "bin", "java").toString());
         b.command().addAll(Local.AGENT_JVM);
         b.command().addAll(List.of(options));
--- a/fleet/src/test/java/holdproxy/agent/AgentTest.java
+++ b/fleet/src/test/java/holdproxy/agent/AgentTest.java
@@ -310,6 +310,21 @@
         }
     }
 
+    /** Danger: a script's background inherits SIGINT as ignored; a Ctrl-C meant for others would end the agent. */
+    @Test
+    void whereSigintIsInheritedAsIgnoredItStaysSoAndOnlySigtermEndsIt() throws Exception {
+        try (AgentRig rig = rig(1)) {
+            rig.ignoresInt = true;
+            applied(rig);
+            AgentRig.signal("INT", rig.agent.pid());
+            rig.done("reload", "names", List.of("p0")); // its answer comes after the signal was dealt with
+            assertTrue(rig.agent.isAlive(), () -> rig.account());
+            AgentRig.signal("TERM", rig.agent.pid());
+            rig.ends();
+            assertTrue(rig.happened("agent ends; instances go on"), () -> rig.account());
+        }
+    }
+
     @Test
     void aSecondAgentOnTheSameFolderEndsWithALine() throws Exception {
         try (AgentRig rig = rig(1)) {
