--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/cli/Replay.java
@@ -0,0 +1,43 @@
+package holdproxy.lab.cli;
+
+import holdproxy.lab.emulator.Emulation;
+import holdproxy.lab.emulator.Outcome;
+import holdproxy.lab.experiment.Experiment;
+import holdproxy.lab.experiment.ExperimentFile;
+import holdproxy.lab.report.Report;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "replay", mixinStandardHelpOptions = true, description = "Plays one seed of one variant again, and prints all of it.")
+final class Replay implements Callable<Integer> {
+    @Parameters(index = "0", paramLabel = "FILE", description = "the experiment")
+    private Path file;
+    @Parameters(index = "1", paramLabel = "SEED", description = "which seed")
+    private long seed;
+    @Option(names = "--variant", paramLabel = "NAME", description = "which variant; the first one if none is named")
+    private String variant;
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+        Experiment x = ExperimentFile.read(file);
+        Experiment.Variant v = variant == null ? x.variants().get(0) : x.variants().stream()
+            .filter(some -> some.name().equals(variant)).findFirst().orElseThrow(() -> new ParameterException(
+                spec.commandLine(), "--variant: there is no " + variant + " in " + file));
+        Outcome o = Emulation.play(v.site(), v.troubles(), seed);
+        PrintWriter out = spec.commandLine().getOut();
+        o.figures().forEach((name, value) -> out.printf("%-28s %s%n", name, Report.number(value)));
+        out.printf("%-28s %d%n%-28s %d%n", "requests", o.asked(), "events", o.events());
+        o.broken().forEach(b -> out.println("broken: " + b));
+        out.flush();
+        return o.broken().isEmpty() ? 0 : Main.BROKEN;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/cli/Run.java
@@ -0,0 +1,83 @@
+package holdproxy.lab.cli;
+
+import holdproxy.lab.experiment.Experiment;
+import holdproxy.lab.experiment.ExperimentFile;
+import holdproxy.lab.experiment.Results;
+import holdproxy.lab.experiment.Runner;
+import holdproxy.lab.experiment.Store;
+import holdproxy.lab.report.Report;
+import holdproxy.lab.stats.Difference;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "run", mixinStandardHelpOptions = true,
+    description = "Plays an experiment and writes its report. Ended halfway, it goes on where it was.")
+final class Run implements Callable<Integer> {
+    private static final List<String> SHOWN = List.of("figure", "in time", "late", "refused", "failed", "p99 ms", "during",
+        "back after s", "attempts a request", "wasted work", "nodes fallen");
+
+    @Parameters(paramLabel = "FILE", description = "the experiment")
+    private Path file;
+    @Option(names = "--out", paramLabel = "FOLDER", description = "for results and report; found/NAME if none is named")
+    private Path out;
+    @Option(names = "--threads", paramLabel = "N", description = "plays at once; the processors if not said")
+    private int threads = Runtime.getRuntime().availableProcessors();
+    @Option(names = "--seeds", paramLabel = "N", description = "so many, in place of what the file says")
+    private Integer seeds;
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+        if (threads < 1 || threads > 256) {
+            throw new ParameterException(spec.commandLine(), "--threads: from 1 to 256, not " + threads);
+        }
+        if (seeds != null && (seeds < 1 || seeds > 10_000)) {
+            throw new ParameterException(spec.commandLine(), "--seeds: from 1 to 10000, not " + seeds);
+        }
+        Experiment read = ExperimentFile.read(file);
+        Experiment x = seeds == null ? read
+            : new Experiment(read.name(), read.question(), read.firstSeed(), seeds, read.variants());
+        Path folder = out == null ? Path.of("found", x.name()) : out;
+        PrintWriter err = spec.commandLine().getErr();
+        try (Store store = new Store(folder.resolve("results.db"))) {
+            Results r = new Runner(store, threads).run(x, (done, all) -> {
+                err.printf("\r%d of %d plays", done, all);
+                err.flush();
+            });
+            err.println();
+            Path html = Report.write(r, folder);
+            print(r);
+            spec.commandLine().getOut().println("report: " + html);
+            return r.broken().isEmpty() ? 0 : Main.BROKEN;
+        }
+    }
+
+    private void print(Results r) {
+        PrintWriter to = spec.commandLine().getOut();
+        List<Experiment.Variant> all = r.experiment().variants();
+        to.printf("%-20s", "");
+        all.forEach(v -> to.printf(" %22s", v.name()));
+        to.println();
+        for (String figure : SHOWN) {
+            to.printf("%-20s", figure);
+            all.forEach(v -> to.printf(" %22s", Report.cell(r, v.name(), figure)));
+            to.println();
+        }
+        for (int i = 1; i < all.size(); i++) {
+            Difference d = r.difference(all.get(i).name(), "figure");
+            to.printf("%s against %s, figure: %+.4f (%.4f to %.4f), %s%n", all.get(i).name(), all.get(0).name(), d.mean(),
+                d.low(), d.high(), Report.verdict("figure", d));
+        }
+        r.broken().stream().limit(10).forEach(b -> to.println("broken: " + b));
+        to.flush();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/Experiment.java
@@ -0,0 +1,22 @@
+package holdproxy.lab.experiment;
+
+import holdproxy.lab.emulator.SiteModel;
+import holdproxy.lab.emulator.Trouble;
+import java.util.List;
+
+/**
+ * What a file asks for: one site in several variants, each played with each seed.
+ *
+ * @param seeds how many, from {@code firstSeed} on
+ * @param variants the first is the one that the others are compared with
+ */
+public record Experiment(String name, String question, long firstSeed, int seeds, List<Variant> variants) {
+    /** One of the variants: the whole of what it plays. */
+    public record Variant(String name, SiteModel site, List<Trouble> troubles) {
+    }
+
+    /** All seeds in order. */
+    public List<Long> allSeeds() {
+        return java.util.stream.LongStream.range(firstSeed, firstSeed + seeds).boxed().toList();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/ExperimentFile.java
@@ -0,0 +1,299 @@
+package holdproxy.lab.experiment;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.type.LogicalType;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import holdproxy.lab.emulator.SiteCheck;
+import holdproxy.lab.emulator.SiteModel;
+import holdproxy.lab.emulator.Trouble;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.apache.commons.text.similarity.LevenshteinDistance;
+
+/**
+ * Reads experiments from YAML. What a site leaves out is taken from {@code site-defaults.yaml} beside this class; a
+ * variant's {@code set} then changes single fields by their paths. Every variant is typed and checked as a whole.
+ */
+public final class ExperimentFile {
+    /** What this build reads. */
+    public static final int VERSION = 1;
+    private static final long MOST_BYTES = 1 << 20;
+    private static final int MOST_SEEDS = 10_000;
+    private static final int MOST_VARIANTS = 100;
+    private static final Set<String> TOP = Set.of("version", "name", "question", "seeds", "site", "troubles",
+        "variants");
+    private static final YAMLMapper YAML = YAMLMapper.builder(YAMLFactory.builder().build())
+        .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION).build();
+    private static final JsonMapper TYPED = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+        .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+        .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT).enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+        .withCoercionConfig(LogicalType.Integer, c -> c.setCoercion(CoercionInputShape.String, CoercionAction.Fail))
+        .withCoercionConfig(LogicalType.Float, c -> c.setCoercion(CoercionInputShape.String, CoercionAction.Fail))
+        .withCoercionConfig(LogicalType.Boolean, c -> c.setCoercion(CoercionInputShape.String, CoercionAction.Fail))
+        .build();
+
+    private ExperimentFile() {
+    }
+
+    /** The whole of a file; a mistake anywhere refuses it. */
+    public static Experiment read(Path file) throws BadExperiment {
+        String text;
+        try {
+            if (Files.size(file) > MOST_BYTES) {
+                throw new BadExperiment(file + ": longer than " + MOST_BYTES + " bytes");
+            }
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new BadExperiment(file + ": cannot be read: " + e.getClass().getSimpleName());
+        }
+        try {
+            return of(text);
+        } catch (BadExperiment e) {
+            throw new BadExperiment(e.getMessage().lines().map(l -> file + ": " + l).toList());
+        }
+    }
+
+    /** The same from its text. */
+    public static Experiment of(String yaml) throws BadExperiment {
+        JsonNode top = tree(yaml);
+        if (!(top instanceof ObjectNode o)) {
+            throw new BadExperiment("the file is not a mapping of fields");
+        }
+        List<String> unknown = new ArrayList<>();
+        o.fieldNames().forEachRemaining(f -> {
+            if (!TOP.contains(f)) {
+                unknown.add(f + ": no such field" + nearest(f, TOP));
+            }
+        });
+        if (!unknown.isEmpty()) {
+            throw new BadExperiment(unknown);
+        }
+        if (!o.path("version").isInt() || o.path("version").asInt() != VERSION) {
+            throw new BadExperiment("version: this build plays version " + VERSION + ", not "
+                + (o.has("version") ? o.path("version").asText() : "none"));
+        }
+        String name = text(o, "name");
+        if (!name.matches("[a-z0-9][a-z0-9-]{0,63}")) {
+            throw new BadExperiment("name: small letters, digits and hyphens, up to 64, not '" + name + "'");
+        }
+        ObjectNode whole = TYPED.createObjectNode();
+        whole.set("site", merged(defaults(), o.path("site"), "site"));
+        whole.set("troubles", troubles(o.path("troubles")));
+        List<Experiment.Variant> variants = variants(o.path("variants"), whole);
+        JsonNode seeds = o.path("seeds");
+        return new Experiment(name, o.path("question").asText(""), whole(seeds, "first", 1, Long.MAX_VALUE / 2),
+            (int) whole(seeds, "count", 5, MOST_SEEDS), variants);
+    }
+
+    private static JsonNode tree(String yaml) throws BadExperiment {
+        try {
+            return YAML.readTree(yaml);
+        } catch (JsonProcessingException e) {
+            throw new BadExperiment("line " + (e.getLocation() == null ? 0 : e.getLocation().getLineNr()) + ": "
+                + e.getOriginalMessage().lines().findFirst().orElse("cannot be read"));
+        }
+    }
+
+    private static ObjectNode defaults() {
+        try (InputStream in = ExperimentFile.class.getResourceAsStream("site-defaults.yaml")) {
+            return (ObjectNode) YAML.readTree(in);
+        } catch (IOException e) {
+            throw new IllegalStateException("site-defaults.yaml of this build", e);
+        }
+    }
+
+    private static String text(ObjectNode o, String field) throws BadExperiment {
+        if (!o.path(field).isTextual()) {
+            throw new BadExperiment(field + ": a text is missing");
+        }
+        return o.path(field).asText();
+    }
+
+    private static long whole(JsonNode seeds, String field, long usual, long most) throws BadExperiment {
+        for (Iterator<String> it = seeds.fieldNames(); it.hasNext();) {
+            String f = it.next();
+            if (!f.equals("first") && !f.equals("count")) {
+                throw new BadExperiment("seeds." + f + ": no such field; there are first and count");
+            }
+        }
+        JsonNode n = seeds.path(field);
+        if (n.isMissingNode()) {
+            return usual;
+        }
+        if (!n.isIntegralNumber() || n.asLong() < 1 || n.asLong() > most) {
+            throw new BadExperiment("seeds." + field + ": a whole number from 1 to " + most + ", not " + n.asText());
+        }
+        return n.asLong();
+    }
+
+    /** Fields of the second in place of those of the first; lists are taken whole. */
+    private static ObjectNode merged(ObjectNode under, JsonNode over, String at) throws BadExperiment {
+        if (over.isMissingNode() || over.isNull()) {
+            return under;
+        }
+        if (!over.isObject()) {
+            throw new BadExperiment(at + ": a mapping of fields is wanted");
+        }
+        for (Iterator<Map.Entry<String, JsonNode>> it = over.fields(); it.hasNext();) {
+            Map.Entry<String, JsonNode> f = it.next();
+            JsonNode old = under.get(f.getKey());
+            if (old == null) {
+                throw new BadExperiment(at + "." + f.getKey() + ": no such field" + nearest(f.getKey(), names(under)));
+            }
+            under.set(f.getKey(), old.isObject() ? merged((ObjectNode) old, f.getValue(), at + "." + f.getKey())
+                : f.getValue());
+        }
+        return under;
+    }
+
+    private static Collection<String> names(JsonNode of) {
+        List<String> all = new ArrayList<>();
+        of.fieldNames().forEachRemaining(all::add);
+        return all;
+    }
+
+    private static ArrayNode troubles(JsonNode from) throws BadExperiment {
+        ArrayNode all = TYPED.createArrayNode();
+        if (!from.isMissingNode() && !from.isArray()) {
+            throw new BadExperiment("troubles: a list is wanted");
+        }
+        for (int i = 0; i < from.size(); i++) {
+            ObjectNode usual = TYPED.createObjectNode().put("at", 0).put("kind", "").put("seconds", 0).put("times", 1)
+                .put("share", 1).put("zone", "").put("tenant", "");
+            ObjectNode t = merged(usual, from.get(i), "troubles[" + i + "]");
+            t.put("kind", t.path("kind").asText().replace('-', '_'));
+            all.add(t);
+        }
+        return all;
+    }
+
+    private static List<Experiment.Variant> variants(JsonNode from, ObjectNode whole) throws BadExperiment {
+        List<Experiment.Variant> all = new ArrayList<>();
+        List<String> mistakes = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        if (from.isMissingNode()) {
+            all.add(variant("base", whole, "", mistakes));
+        } else if (!from.isArray() || from.isEmpty() || from.size() > MOST_VARIANTS) {
+            throw new BadExperiment("variants: a list of 1 to " + MOST_VARIANTS + " is wanted");
+        }
+        for (int i = 0; i < from.size(); i++) {
+            String at = "variants[" + i + "]";
+            JsonNode v = from.get(i);
+            for (String f : names(v)) {
+                if (!f.equals("name") && !f.equals("set")) {
+                    throw new BadExperiment(at + "." + f + ": no such field; there are name and set");
+                }
+            }
+            String name = v.path("name").asText("");
+            if (!name.matches("[a-z0-9][a-z0-9-]{0,63}")) {
+                throw new BadExperiment(at + ".name: small letters, digits and hyphens, not '" + name + "'");
+            }
+            if (!names.add(name)) {
+                throw new BadExperiment(at + ".name: " + name + " is there twice");
+            }
+            ObjectNode own = whole.deepCopy();
+            for (Iterator<Map.Entry<String, JsonNode>> it = v.path("set").fields(); it.hasNext();) {
+                Map.Entry<String, JsonNode> f = it.next();
+                set(own, f.getKey(), f.getValue(), at + ".set." + f.getKey());
+            }
+            all.add(variant(name, own, at + ": ", mistakes));
+        }
+        if (!mistakes.isEmpty()) {
+            throw new BadExperiment(mistakes);
+        }
+        return all;
+    }
+
+    /** A field by its path, as in {@code site.node.slots} or {@code troubles[0].times}. */
+    private static void set(ObjectNode whole, String path, JsonNode value, String at) throws BadExperiment {
+        String pointer = "/" + path.replace("[", ".").replace("]", "").replace('.', '/');
+        int cut = pointer.lastIndexOf('/');
+        JsonNode parent = whole.at(pointer.substring(0, cut));
+        String last = pointer.substring(cut + 1);
+        if (parent instanceof ObjectNode o && o.has(last)) {
+            if (o.get(last).isObject()) {
+                merged((ObjectNode) o.get(last), value, at);
+            } else {
+                o.set(last, last.equals("kind") ? TYPED.getNodeFactory().textNode(value.asText().replace('-', '_')) : value);
+            }
+        } else {
+            throw new BadExperiment(at + ": there is no field " + path
+                + (parent.isObject() ? nearest(last, names(parent)) : ""));
+        }
+    }
+
+    private static Experiment.Variant variant(String name, ObjectNode whole, String at, List<String> mistakes)
+            throws BadExperiment {
+        SiteModel site = typed(whole.get("site"), SiteModel.class, at + "site");
+        List<Trouble> troubles = new ArrayList<>();
+        for (int i = 0; i < whole.get("troubles").size(); i++) {
+            troubles.add(typed(whole.get("troubles").get(i), Trouble.class, at + "troubles[" + i + "]"));
+        }
+        SiteCheck.of(site, troubles).forEach(m -> {
+            if (!mistakes.contains(m)) {
+                mistakes.add(at.isEmpty() ? m : at + m);
+            }
+        });
+        return new Experiment.Variant(name, site, List.copyOf(troubles));
+    }
+
+    private static <T> T typed(JsonNode from, Class<T> as, String at) throws BadExperiment {
+        try {
+            return TYPED.treeToValue(from, as);
+        } catch (UnrecognizedPropertyException e) {
+            throw new BadExperiment(path(at, e) + ": no such field" + nearest(e.getPropertyName(),
+                e.getKnownPropertyIds().stream().map(String::valueOf).toList()));
+        } catch (JsonMappingException e) {
+            throw new BadExperiment(path(at, e) + ": " + e.getOriginalMessage().lines().findFirst().orElse("")
+                .replaceAll("`(?:[a-z]+\\.)+([A-Za-z$]+)`", "$1"));
+        } catch (JsonProcessingException e) {
+            throw new BadExperiment(at + ": " + e.getOriginalMessage());
+        }
+    }
+
+    private static String path(String at, JsonMappingException e) {
+        return at + e.getPath().stream().map(r -> r.getFieldName() == null ? "[" + r.getIndex() + "]"
+            : "." + r.getFieldName()).collect(Collectors.joining());
+    }
+
+    private static String nearest(String word, Collection<String> known) {
+        String best = null;
+        int least = 4;
+        for (String k : known) {
+            int d = LevenshteinDistance.getDefaultInstance().apply(word, k);
+            if (d < least) {
+                least = d;
+                best = k;
+            }
+        }
+        return best == null ? "" : "; is " + best + " meant?";
+    }
+
+    /** The mapper of results too: one form for the file, the store and the report. */
+    static ObjectMapper mapper() {
+        return TYPED;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/Results.java
@@ -0,0 +1,51 @@
+package holdproxy.lab.experiment;
+
+import holdproxy.lab.emulator.Outcome;
+import holdproxy.lab.stats.Difference;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What a run of an experiment has come to, by variant and in the order of the seeds.
+ *
+ * @param outcomes by the variant's name; as many for each
+ * @param build which program it is of
+ */
+public record Results(Experiment experiment, Map<String, List<Outcome>> outcomes, String build) {
+    /** Names of all figures, in the order of the first outcome that has them. */
+    public List<String> figures() {
+        Set<String> names = new LinkedHashSet<>();
+        outcomes.values().forEach(all -> all.forEach(o -> names.addAll(o.figures().keySet())));
+        return new ArrayList<>(names);
+    }
+
+    /** One figure of a variant, by seed; not a number where an outcome has none. */
+    public double[] values(String variant, String figure) {
+        return outcomes.get(variant).stream().mapToDouble(o -> {
+            Double x = o.figures().get(figure);
+            return x == null ? Double.NaN : x;
+        }).toArray();
+    }
+
+    /** Of the finite ones; not a number where there is none. */
+    public double mean(String variant, String figure) {
+        return java.util.Arrays.stream(values(variant, figure)).filter(Double::isFinite).average().orElse(Double.NaN);
+    }
+
+    /** How a variant differs from the first one, pair by pair of the same seed. */
+    public Difference difference(String variant, String figure) {
+        return Difference.of(values(experiment.variants().get(0).name(), figure), values(variant, figure),
+            figure.hashCode());
+    }
+
+    /** Rules that were broken and faults, with variant and seed. */
+    public List<String> broken() {
+        List<String> all = new ArrayList<>();
+        outcomes.forEach((name, some) -> some.forEach(o -> o.broken().forEach(
+            b -> all.add(name + ", seed " + o.seed() + ": " + b))));
+        return all;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/Runner.java
@@ -0,0 +1,83 @@
+package holdproxy.lab.experiment;
+
+import holdproxy.lab.emulator.Emulation;
+import holdproxy.lab.emulator.Outcome;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Plays what a store lacks of an experiment, side by side, and gives all of it. */
+public final class Runner {
+    private static final Logger LOG = LoggerFactory.getLogger(Runner.class);
+    private final Store store;
+    private final int threads;
+
+    /** {@code threads}: plays at once; each keeps a whole site in memory. */
+    public Runner(Store store, int threads) {
+        this.store = store;
+        this.threads = threads;
+    }
+
+    /**
+     * All variants with all seeds. {@code progress} hears of what is done and of how many, on any thread, one call at a
+     * time. Ends with InterruptedException where the thread was interrupted: what is done is kept.
+     */
+    public Results run(Experiment x, BiConsumer<Integer, Integer> progress) throws IOException, InterruptedException {
+        ExecutorService pool = Executors.newFixedThreadPool(threads);
+        int all = x.variants().size() * x.seeds();
+        int[] done = {0};
+        try {
+            Map<String, List<Future<Outcome>>> asked = new LinkedHashMap<>();
+            x.variants().forEach(v -> asked.put(v.name(), new ArrayList<>()));
+            for (long seed : x.allSeeds()) { // all variants of a seed together: a run ended halfway has whole pairs
+                for (Experiment.Variant v : x.variants()) {
+                    asked.get(v.name()).add(pool.submit(one(v, seed, () -> {
+                        synchronized (done) {
+                            progress.accept(++done[0], all);
+                        }
+                    })));
+                }
+            }
+            Map<String, List<Outcome>> outcomes = new LinkedHashMap<>();
+            for (Map.Entry<String, List<Future<Outcome>>> e : asked.entrySet()) {
+                List<Outcome> some = new ArrayList<>();
+                for (Future<Outcome> f : e.getValue()) {
+                    some.add(f.get());
+                }
+                outcomes.put(e.getKey(), some);
+            }
+            return new Results(x, outcomes, store.build());
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof IOException io) {
+                throw io;
+            }
+            throw new IllegalStateException(e.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    private Callable<Outcome> one(Experiment.Variant v, long seed, Runnable done) {
+        return () -> {
+            Outcome o = store.find(v, seed).orElse(null);
+            if (o == null) {
+                o = Emulation.play(v.site(), v.troubles(), seed);
+                store.keep(v, o);
+                LOG.debug("{} seed {}: {} requests, {} events in {} ms", v.name(), seed, o.asked(), o.events(),
+                    o.wallMs());
+            }
+            done.run();
+            return o;
+        };
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/Store.java
@@ -0,0 +1,117 @@
+package holdproxy.lab.experiment;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import holdproxy.lab.emulator.Outcome;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.HexFormat;
+import java.util.Optional;
+
+/**
+ * Outcomes in an SQLite file, each there whole or not at all: a run that was ended, by SIGKILL too, goes on with what is
+ * missing. An outcome is found again only for the same variant, seed and build. One process at a time.
+ */
+public final class Store implements AutoCloseable {
+    /** Of the tables and of what an outcome holds. */
+    private static final int VERSION = 1;
+    private final Connection db;
+    private final String build;
+
+    /** Opens it, or makes it in a folder that may not be there yet. */
+    public Store(Path file) throws IOException {
+        build = Build.id();
+        Path folder = file.toAbsolutePath().getParent();
+        Files.createDirectories(folder);
+        Connection opened = null;
+        try {
+            opened = DriverManager.getConnection("jdbc:sqlite:" + file);
+            try (Statement s = opened.createStatement()) {
+                s.execute("PRAGMA locking_mode=EXCLUSIVE");
+                s.execute("PRAGMA journal_mode=WAL");
+                s.execute("PRAGMA synchronous=FULL");
+                int found = version(s);
+                if (found != 0 && found != VERSION) {
+                    throw new IOException(file + ": of version " + found + ", and this build keeps version " + VERSION);
+                }
+                s.execute("PRAGMA user_version=" + VERSION);
+                s.execute("CREATE TABLE IF NOT EXISTS outcome (variant TEXT NOT NULL, seed INTEGER NOT NULL,"
+                    + " build TEXT NOT NULL, outcome TEXT NOT NULL, PRIMARY KEY (variant, seed, build)) WITHOUT ROWID");
+            }
+            db = opened;
+        } catch (SQLException e) {
+            close(opened);
+            throw new IOException(file + ": " + e.getMessage(), e);
+        } catch (IOException e) {
+            close(opened);
+            throw e;
+        }
+    }
+
+    private static void close(Connection c) {
+        try {
+            if (c != null) {
+                c.close();
+            }
+        } catch (SQLException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static int version(Statement s) throws SQLException {
+        try (ResultSet r = s.executeQuery("PRAGMA user_version")) {
+            return r.next() ? r.getInt(1) : 0;
+        }
+    }
+
+    /** The outcome that is there for this variant, whatever its name, with this seed, of this build. */
+    public synchronized Optional<Outcome> find(Experiment.Variant v, long seed) throws IOException {
+        try (PreparedStatement s = db.prepareStatement(
+                "SELECT outcome FROM outcome WHERE variant = ? AND seed = ? AND build = ?")) {
+            s.setString(1, digest(v));
+            s.setLong(2, seed);
+            s.setString(3, build);
+            try (ResultSet r = s.executeQuery()) {
+                return r.next() ? Optional.of(ExperimentFile.mapper().readValue(r.getString(1), Outcome.class))
+                    : Optional.empty();
+            }
+        } catch (SQLException e) {
+            throw new IOException("results cannot be read: " + e.getMessage(), e);
+        }
+    }
+
+    /** Keeps it; it is on the disk when this returns. */
+    public synchronized void keep(Experiment.Variant v, Outcome o) throws IOException {
+        try (PreparedStatement s = db.prepareStatement("INSERT OR REPLACE INTO outcome VALUES (?, ?, ?, ?)")) {
+            s.setString(1, digest(v));
+            s.setLong(2, o.seed());
+            s.setString(3, build);
+            s.setString(4, ExperimentFile.mapper().writeValueAsString(o));
+            s.executeUpdate();
+        } catch (SQLException e) {
+            throw new IOException("results cannot be kept: " + e.getMessage(), e);
+        }
+    }
+
+    /** Which program its outcomes are of. */
+    public String build() {
+        return build;
+    }
+
+    private static String digest(Experiment.Variant v) throws JsonProcessingException {
+        String text = ExperimentFile.mapper().writeValueAsString(new Object[] {v.site(), v.troubles()});
+        return HexFormat.of().formatHex(Build.sha().digest(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Override
+    public synchronized void close() {
+        close(db);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/load/LoadLine.java
@@ -0,0 +1,154 @@
+package holdproxy.lab.load;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.util.ByteProcessor;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.List;
+
+/** One connection: commands out, answers in, in the same order. */
+final class LoadLine extends ByteToMessageDecoder {
+    private static final int LONGEST_LINE = 2_048;
+
+    /** A request that is out. */
+    record Sent(long id, long dueNs, boolean counts) {
+    }
+
+    private final LoadLoop loop;
+    final int number;
+    private final ArrayDeque<Sent> out = new ArrayDeque<>();
+    private Channel channel;
+    boolean touched;
+    /** Of the value that is still to come, with its line's end; -1 for none. */
+    private int value = -1;
+    private boolean right;
+
+    LoadLine(LoadLoop loop, int number) {
+        this.loop = loop;
+        this.number = number;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        if (ctx.channel().localAddress().equals(ctx.channel().remoteAddress())) {
+            ctx.close(); // nobody listens, and the kernel has joined the socket to itself
+            loop.deaf(this);
+            return;
+        }
+        channel = ctx.channel();
+        loop.up(this);
+    }
+
+    int open() {
+        return out.size();
+    }
+
+    boolean takes(int pipeline) {
+        return channel != null && out.size() < pipeline;
+    }
+
+    void send(ByteBuf command, Sent sent) {
+        out.add(sent);
+        channel.write(command, channel.voidPromise());
+    }
+
+    void flush() {
+        if (channel != null) {
+            channel.flush();
+        }
+    }
+
+    ByteBuf buffer() {
+        return channel.alloc().buffer(128);
+    }
+
+    /** Its oldest request has waited for so long: the connection ends. */
+    void expire(long beforeNs) {
+        if (!out.isEmpty() && out.peek().dueNs < beforeNs && channel != null) {
+            channel.close();
+        }
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> none) {
+        while (in.isReadable()) {
+            if (value >= 0) {
+                if (in.readableBytes() < value) {
+                    return;
+                }
+                in.skipBytes(value);
+                value = -1;
+                end(right ? LoadResult.End.SERVED : LoadResult.End.WRONG);
+                continue;
+            }
+            int length = in.forEachByte(ByteProcessor.FIND_LF) - in.readerIndex();
+            if (length < 0) {
+                if (in.readableBytes() > LONGEST_LINE) {
+                    ctx.close();
+                }
+                return;
+            }
+            String line = in.toString(in.readerIndex(), Math.max(0, length - 1), StandardCharsets.ISO_8859_1);
+            in.skipBytes(length + 1);
+            if (out.isEmpty()) {
+                loop.stray();
+                ctx.close();
+                return;
+            }
+            answer(ctx, line);
+        }
+    }
+
+    private void answer(ChannelHandlerContext ctx, String line) {
+        if (line.startsWith("SERVER_ERROR busy")) {
+            end(LoadResult.End.REFUSED);
+            return;
+        }
+        boolean va = line.startsWith("VA ");
+        if (!va && !line.startsWith("HD ")) {
+            end(LoadResult.End.FAILED);
+            return;
+        }
+        int at = line.indexOf(" O");
+        int to = at < 0 ? -1 : line.indexOf(' ', at + 2);
+        right = at >= 0 && line.substring(at + 2, to < 0 ? line.length() : to).equals(Long.toHexString(out.peek().id));
+        if (!va) {
+            end(right ? LoadResult.End.SERVED : LoadResult.End.WRONG);
+            return;
+        }
+        try {
+            value = Integer.parseInt(line.substring(3, line.indexOf(' ', 3))) + 2;
+        } catch (NumberFormatException | StringIndexOutOfBoundsException e) {
+            ctx.close();
+        }
+    }
+
+    private void end(LoadResult.End how) {
+        loop.ended(out.poll(), how);
+        loop.free(this);
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext ctx) {
+        if (channel == null) {
+            return; // never up: whoever dialled hears of it, and dials again once
+        }
+        channel = null;
+        loop.down(this, out);
+        out.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/load/LoadLoop.java
@@ -0,0 +1,288 @@
+package holdproxy.lab.load;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** One thread's part of a load. Requests become due at their times whatever becomes of those before them. */
+final class LoadLoop implements Runnable {
+    private static final int MOST_WAITING = 200_000;
+    private static final long SPIN_NS = 2_000_000;
+    private static final long LOOK_MS = 50;
+    private static final long DIAL_AGAIN_MS = 20;
+
+    private final LoadPlan plan;
+    private final EventLoop loop;
+    private final int index;
+    private final double perNs;
+    private final UniformRandomProvider random;
+    private final DiscreteSampler ranks;
+    private final byte[] value;
+    private final List<LoadLine> lines = new ArrayList<>();
+    /** Those that may take a request, each as often as it stands here. */
+    private final ArrayDeque<LoadLine> free = new ArrayDeque<>();
+    private final List<LoadLine> touched = new ArrayList<>();
+    /** Due, and no connection was free: its time, by order. */
+    private final ArrayDeque<Long> waiting = new ArrayDeque<>();
+    final LoadResult result = new LoadResult();
+    private long startNs;
+    private long countNs;
+    private long endNs;
+    private double nextNs;
+    private long ids;
+    private int open;
+    private boolean sending;
+    private boolean over;
+    /** Answers that nobody had asked for. */
+    long strays;
+    /** Connections that came up, and that ended by themselves. */
+    int dialled;
+    int ended;
+
+    LoadLoop(LoadPlan plan, EventLoop loop, int index) {
+        this.plan = plan;
+        this.loop = loop;
+        this.index = index;
+        perNs = plan.perS() / plan.loops() / 1e9;
+        random = RandomSource.XO_SHI_RO_256_PP.create(plan.seed() * 1_000_003 + index);
+        ranks = plan.zipf() == 0 ? () -> random.nextInt(plan.keys()) + 1
+            : RejectionInversionZipfSampler.of(random, plan.keys(), plan.zipf());
+        value = "v".repeat(plan.valueBytes()).getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+    }
+
+    /** On the loop: dials its connections. */
+    void open() {
+        for (int i = index; i < plan.connections(); i += plan.loops()) {
+            LoadLine line = new LoadLine(this, i);
+            lines.add(line);
+            dial(line);
+        }
+        loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void dial(LoadLine line) {
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(line);
+                }
+            }).connect(plan.targets().get(line.number % plan.targets().size())).addListener(f -> {
+                if (!f.isSuccess()) {
+                    again(line);
+                }
+            });
+    }
+
+    /** A connection of the same number in its place: a decoder serves one channel only. */
+    private void again(LoadLine old) {
+        if (!over) {
+            LoadLine fresh = new LoadLine(this, old.number);
+            lines.set(lines.indexOf(old), fresh);
+            loop.schedule(() -> {
+                if (!over) {
+                    dial(fresh);
+                }
+            }, DIAL_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    int connected() {
+        return dialled - ended;
+    }
+
+    int size() {
+        return lines.size();
+    }
+
+    /** On the loop: requests become due from now on. */
+    void start() {
+        startNs = System.nanoTime();
+        countNs = startNs + (long) (plan.warmSeconds() * 1e9);
+        endNs = startNs + (long) (plan.seconds() * 1e9);
+        nextNs = startNs + gap();
+        sending = true;
+        run();
+    }
+
+    private double gap() {
+        return -Math.log(1 - random.nextDouble()) / perNs;
+    }
+
+    /** On the loop: no more become due. */
+    void stop() {
+        endNs = Math.min(endNs, System.nanoTime());
+    }
+
+    /** Seconds that counted. */
+    double counted() {
+        return Math.max(0, endNs - countNs) / 1e9;
+    }
+
+    @Override
+    public void run() {
+        long now = System.nanoTime();
+        while (nextNs <= now && nextNs < endNs) {
+            long due = (long) nextNs;
+            nextNs += gap();
+            if (due >= countNs) {
+                result.lateBy(now - due);
+            }
+            if (waiting.size() >= MOST_WAITING) {
+                count(due, LoadResult.End.UNSENT);
+            } else {
+                waiting.add(due);
+            }
+        }
+        send(now);
+        if (nextNs >= endNs) {
+            sending = false;
+            return;
+        }
+        double left = nextNs - System.nanoTime();
+        if (left < SPIN_NS) {
+            loop.execute(this); // a timer of the selector's is a millisecond late
+        } else {
+            loop.schedule(this, (long) left - SPIN_NS / 2, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void send(long now) {
+        while (!waiting.isEmpty()) {
+            LoadLine line = free.poll();
+            if (line == null) {
+                break;
+            }
+            if (!line.takes(plan.pipeline())) {
+                continue; // it has ended since
+            }
+            long due = waiting.poll();
+            long id = ++ids << 8 | index;
+            open++;
+            line.send(command(line.buffer(), id), new LoadLine.Sent(id, due, due >= countNs));
+            if (!line.touched) {
+                line.touched = true;
+                touched.add(line);
+            }
+        }
+        for (LoadLine l : touched) {
+            l.touched = false;
+            l.flush();
+        }
+        touched.clear();
+    }
+
+    private ByteBuf command(ByteBuf to, long id) {
+        LoadPlan.Part kind = drawn(plan.classes());
+        ByteBufUtil.writeAscii(to, kind.write() ? "ms " : "mg ");
+        ByteBufUtil.writeAscii(to, Integer.toHexString(ranks.sample()));
+        ByteBufUtil.writeAscii(to, kind.write() ? " " + plan.valueBytes() + " O" : " v O");
+        ByteBufUtil.writeAscii(to, Long.toHexString(id));
+        ByteBufUtil.writeAscii(to, " Pc=" + kind.name() + ",t=" + drawn(plan.tenants()).name() + ",d=" + plan.waitMs()
+            + (kind.write() ? ",k=" + Long.toHexString(random.nextLong()) : "") + "\r\n");
+        if (kind.write()) {
+            to.writeBytes(value);
+            ByteBufUtil.writeAscii(to, "\r\n");
+        }
+        return to;
+    }
+
+    private LoadPlan.Part drawn(List<LoadPlan.Part> all) {
+        double sum = 0;
+        for (LoadPlan.Part p : all) {
+            sum += p.share();
+        }
+        double at = random.nextDouble() * sum;
+        for (LoadPlan.Part p : all) {
+            at -= p.share();
+            if (at < 0) {
+                return p;
+            }
+        }
+        return all.get(all.size() - 1);
+    }
+
+    // ---- what connections tell ----
+
+    void up(LoadLine line) {
+        dialled++;
+        for (int i = 0; i < plan.pipeline(); i++) {
+            free.add(line);
+        }
+        send(System.nanoTime());
+    }
+
+    void free(LoadLine line) {
+        free.add(line);
+        if (!waiting.isEmpty()) {
+            send(System.nanoTime());
+        }
+    }
+
+    void down(LoadLine line, Iterable<LoadLine.Sent> lost) {
+        ended++;
+        free.removeIf(l -> l == line);
+        lost.forEach(s -> ended(s, LoadResult.End.LOST));
+        again(line);
+    }
+
+    /** It came up, but to nobody. */
+    void deaf(LoadLine line) {
+        again(line);
+    }
+
+    void stray() {
+        strays++;
+    }
+
+    void ended(LoadLine.Sent s, LoadResult.End how) {
+        open--;
+        if (s.counts()) {
+            result.ended(how, System.nanoTime() - s.dueNs());
+        }
+    }
+
+    private void count(long due, LoadResult.End how) {
+        if (due >= countNs) {
+            result.ended(how, 0);
+        }
+    }
+
+    private void look() {
+        long before = System.nanoTime() - plan.waitMs() * 1_000_000L;
+        while (!waiting.isEmpty() && waiting.peek() < before) {
+            count(waiting.poll(), LoadResult.End.UNSENT);
+        }
+        new ArrayList<>(lines).forEach(l -> l.expire(before));
+        if (!over) {
+            loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Whether everything that was due has ended. */
+    boolean done() {
+        return !sending && open == 0 && waiting.isEmpty();
+    }
+
+    /** On the loop: ends all connections; what is still open is lost. */
+    void close() {
+        over = true;
+        while (!waiting.isEmpty()) {
+            count(waiting.poll(), LoadResult.End.UNSENT);
+        }
+        new ArrayList<>(lines).forEach(LoadLine::close);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/load/StandIn.java
@@ -0,0 +1,105 @@
+package holdproxy.lab.load;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.util.ByteProcessor;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Answers every meta command at once with a value or a receipt: what the load tool itself is measured against. */
+public final class StandIn implements AutoCloseable {
+    private final MultiThreadIoEventLoopGroup group;
+    private final Channel listening;
+    /** Until then it answers nothing, by {@link System#nanoTime}. */
+    private volatile long stillUntil = System.nanoTime();
+    /** Answers with another id than was asked, from now on. */
+    private volatile boolean confused;
+
+    /** Listens on a free loopback port with so many threads. */
+    public StandIn(int threads) throws InterruptedException {
+        group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new Line());
+                }
+            }).bind(new InetSocketAddress("127.0.0.1", 0)).sync().channel();
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listening.localAddress();
+    }
+
+    /** All its threads stand still from now on for so long. */
+    public void standStill(long ms) {
+        stillUntil = System.nanoTime() + ms * 1_000_000;
+    }
+
+    /** Its answers have ids of no request. */
+    public void confuse() {
+        confused = true;
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).awaitUninterruptibly(3_000);
+    }
+
+    private final class Line extends ByteToMessageDecoder {
+        private int skip;
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> none) {
+            long still = stillUntil - System.nanoTime();
+            if (still > 0) {
+                java.util.concurrent.locks.LockSupport.parkNanos(still);
+            }
+            ByteBuf out = ctx.alloc().buffer(in.readableBytes());
+            while (in.isReadable()) {
+                if (skip > 0) {
+                    if (in.readableBytes() < skip) {
+                        break;
+                    }
+                    in.skipBytes(skip);
+                    skip = 0;
+                    continue;
+                }
+                int length = in.forEachByte(ByteProcessor.FIND_LF) - in.readerIndex();
+                if (length < 0) {
+                    break;
+                }
+                answer(in.readCharSequence(length, StandardCharsets.US_ASCII).toString(), out);
+                in.skipBytes(1);
+            }
+            ctx.writeAndFlush(out, ctx.voidPromise());
+        }
+
+        private void answer(String line, ByteBuf out) {
+            int at = line.indexOf(" O");
+            if (at < 0) {
+                ByteBufUtil.writeAscii(out, "MN\r\n");
+                return;
+            }
+            int to = line.indexOf(' ', at + 1);
+            String id = confused ? " Onone" : line.substring(at, to < 0 ? line.length() - 1 : to);
+            if (line.startsWith("ms ")) {
+                skip = Integer.parseInt(line.substring(line.indexOf(' ', 3) + 1, at)) + 2;
+                ByteBufUtil.writeAscii(out, "HD" + id + " c1\r\n");
+            } else {
+                ByteBufUtil.writeAscii(out, "VA 5" + id + "\r\nvalue\r\n");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/holdproxy/lab/emulator/EmulationTest.java
@@ -0,0 +1,141 @@
+package holdproxy.lab.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class EmulationTest {
+    private static final SiteModel.Proxy FREE = new SiteModel.Proxy(4, true, true, true, 250, 1024, 1000, 0, 0);
+
+    private static SiteModel site(SiteModel.Proxy proxy, int nodes, double load) {
+        return new SiteModel(List.of("east", "west"), 3, nodes, load, 0.55, 5_000, 16_000, true,
+            List.of(new SiteModel.Machine("full", 1, 1, 1)),
+            new SiteModel.Node(1, 8, 2, true, true, 0.2, 4_000, 4, 2_000, 150, 2, 200, 80, 0.1, 3),
+            new SiteModel.Network(0.2, 2, 0.5, 0.1), new SiteModel.Origin(0.11, 6, 50, 1_000),
+            new SiteModel.Discovery(200, 40, 1_000, 1_000),
+            new SiteModel.Clients(1, 0.65, 100, 0.85, 300, 0.9, 10, 1_000), proxy,
+            List.of(new SiteModel.RequestClass("read", "pure", 0.9, 40, 0.5, 500, 1_500, 0.5, 0, 1),
+                new SiteModel.RequestClass("charge", "side_effect", 0.1, 30, 0.5, 500, 2_000, 0.5, 0, 1)),
+            List.of(new SiteModel.Tenant("one", 0.5, 1), new SiteModel.Tenant("two", 0.5, 1)));
+    }
+
+    private static Trouble trouble(Trouble.Kind kind, double seconds, double times, double share) {
+        return new Trouble(3, kind, seconds, times, share, kind.zoned() ? "west" : "",
+            kind == Trouble.Kind.TENANT_SURGE ? "one" : "");
+    }
+
+    private static double sum(Outcome o, String series, int from, int to) {
+        return Arrays.stream(o.series().get(series), from, to).sum();
+    }
+
+    /** Danger: chance from outside the seed, and no two variants could be compared pair by pair. */
+    @Test
+    void oneSeedBringsOneOutcomeToTheDigit() {
+        List<Trouble> troubles = List.of(trouble(Trouble.Kind.NODES_RESTARTED, 2, 1, 0.3));
+        Outcome a = Emulation.play(site(FREE, 6, 0.5), troubles, 5);
+        Outcome b = Emulation.play(site(FREE, 6, 0.5), troubles, 5);
+        assertEquals(a.figures(), b.figures());
+        assertEquals(a.events(), b.events());
+        a.series().forEach((name, values) -> assertEquals(Arrays.toString(values),
+            Arrays.toString(b.series().get(name)), name));
+        Outcome other = Emulation.play(site(FREE, 6, 0.5), troubles, 6);
+        assertTrue(a.events() != other.events() && !a.figures().equals(other.figures()));
+    }
+
+    /** Danger: a trouble that is only named, and a comparison of two calm days under its name. */
+    @ParameterizedTest
+    @EnumSource(Trouble.Kind.class)
+    void eachTroubleLeavesItsMarkAndNoRuleBroken(Trouble.Kind kind) {
+        Outcome calm = Emulation.play(site(FREE, 6, 0.4), List.of(), 1);
+        assertEquals(List.of(), calm.broken());
+        assertTrue(calm.figures().get("in time") > 0.9, calm.figures().toString());
+        Outcome o = Emulation.play(site(FREE, 6, 0.4), List.of(trouble(kind, 4, 3, 0.5)), 1);
+        assertEquals(List.of(), o.broken());
+        double asked = sum(o, "asked", 4, 7) / sum(calm, "asked", 4, 7);
+        double nodes = o.series().get("nodes up")[4];
+        double proxies = Arrays.stream(o.series().get("proxies up"), 3, 9).min().orElseThrow();
+        double served = sum(o, "in time", 3, 7) / sum(o, "asked", 3, 7);
+        double before = sum(calm, "in time", 3, 7) / sum(calm, "asked", 3, 7);
+        boolean marked = switch (kind) {
+            case BURST -> asked > 2.5;
+            case TENANT_SURGE -> asked > 1.7 && sum(o, "asked of one", 4, 7) > 2 * sum(o, "asked of two", 4, 7);
+            case SITE_LOST -> nodes == 3 && proxies == 2;
+            case NODES_RESTARTED -> nodes == 3;
+            case GROW -> o.series().get("nodes up")[8] == 18 && sum(o, "asked", 9, 12) > 1.6 * sum(calm, "asked", 9, 12);
+            case PROXIES_KILLED, PROXIES_ROLLED -> proxies < 3;
+            case SITE_CUT, SITE_APART -> served < before - 0.02;
+            case NODES_SLOW -> sum(o, "nodes' load, mean", 4, 7) > 1.2 * sum(calm, "nodes' load, mean", 4, 7);
+            case FLUSH, SCAN -> sum(o, "misses", 3, 6) > 1.15 * sum(calm, "misses", 3, 6);
+            case DISCOVERY_SILENT -> !o.figures().equals(calm.figures()) || o.events() != calm.events();
+        };
+        assertTrue(marked, kind + ": " + o.figures() + " asked " + asked + " nodes " + nodes + " proxies " + proxies
+            + " served " + served + " before " + before);
+    }
+
+    /** Danger: proxies that cost nothing, so that no load is too much for them and none is late. */
+    @Test
+    void aProxyWhoseProcessorIsShortAnswersLate() {
+        Outcome free = Emulation.play(site(FREE, 6, 0.4), List.of(), 2);
+        SiteModel.Proxy dear = new SiteModel.Proxy(4, true, true, true, 250, 1024, 1000, 7_000, 1_000);
+        Outcome o = Emulation.play(site(dear, 6, 0.4), List.of(), 2);
+        assertEquals(0, free.figures().get("busiest proxy"));
+        assertTrue(o.figures().get("busiest proxy") > 0.5, o.figures().toString());
+        assertTrue(o.figures().get("p50 ms") > free.figures().get("p50 ms") + 8,
+            free.figures() + " " + o.figures());
+    }
+
+    /**
+     * A node alone against Pollaczek and Khinchine's mean wait of M/G/1: load / (1 - load) * (1 + cv^2) / 2 services.
+     * Danger: a queue that is not one, and every figure that rests on it.
+     */
+    @ParameterizedTest
+    @CsvSource({"0.3, 0", "0.6, 0", "0.8, 0", "0.6, 0.5", "0.8, 0.5", "0.6, 1", "0.75, 1"})
+    void aNodeQueuesAsTheoryHasIt(double load, double cv) {
+        double workMs = 10;
+        Site site = new Site();
+        site.kinds.clear();
+        site.kinds.add(new Site.Kind("read", Site.Effect.PURE, GroupMemory.Group.ALL, 1e6, 1e6, 1, 0, 1, 1, workMs, cv));
+        World world = new World(9);
+        SimNet net = new SimNet(world);
+        net.latency(0);
+        NodeModel model = site.model(1);
+        model.slots = 1;
+        model.queue = 100_000;
+        model.late = NodeModel.Late.RUNS;
+        model.handshakeMs = 0;
+        model.connections = 100_000;
+        model.idleMs = 1e9;
+        InetSocketAddress at = NodeEntry.address(2, 0, 11211);
+        ScriptedNode node = new ScriptedNode(net, site.entry(0, at), model, new ScriptedNode.Shared(
+            new Origin(net, 1, 1, 1, 0, 1), site.memories()), 3);
+        ClientModel asks = new ClientModel();
+        asks.keys = 1;
+        asks.connections = 100_000;
+        asks.idleMs = 1e9;
+        asks.retries = 0;
+        asks.tryShare = 1;
+        node.start(1);
+        node.keep(ClientModel.key(0));
+        Ledger ledger = new Ledger(site);
+        ScriptedClient client = new ScriptedClient(net, "c", site, asks, ledger, List.of(at), 4);
+        net.record().off();
+        long end = 2_000 * Town.S;
+        client.arrivals(end, () -> load * 1000 / workMs);
+        world.runUntil(end + 60 * Town.S);
+        double mean = ledger.entries().stream().mapToDouble(e -> (e.endedNs - e.askedNs) / 1e6).average().orElseThrow();
+        double theory = workMs * (1 + load / (1 - load) * (1 + cv * cv) / 2);
+        assertEquals(theory, mean, 0.05 * theory, ledger.entries().size() + " requests");
+        Map<Ledger.Result, Integer> ends = new LinkedHashMap<>();
+        ledger.entries().forEach(e -> ends.merge(e.result, 1, Integer::sum));
+        assertEquals(Map.of(Ledger.Result.IN_TIME, ledger.entries().size()), ends);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/holdproxy/lab/load/LoadTest.java
@@ -0,0 +1,88 @@
+package holdproxy.lab.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LoadTest {
+    private static LoadPlan plan(InetSocketAddress to, double perS, double seconds) {
+        return new LoadPlan(List.of(to), perS, seconds, 0, 8, 4, 2, List.of(new LoadPlan.Part("read", 0.9, false),
+            new LoadPlan.Part("put", 0.1, true)), List.of(new LoadPlan.Part("one", 1, false)), 1_000, 0.9, 40, 3_000, 1);
+    }
+
+    @Test
+    void allThatIsDueIsAskedOnceAndAnswered() throws Exception {
+        try (StandIn node = new StandIn(1)) {
+            LoadResult r = new Load(plan(node.address(), 2_000, 1)).run(line -> { });
+            assertEquals(r.due(), r.count(LoadResult.End.SERVED), "lost " + r.count(LoadResult.End.LOST));
+            assertTrue(r.due() > 1_750 && r.due() < 2_250, r.due() + " were due");
+        }
+    }
+
+    /** Danger: coordinated omission. While the server stands still a tool that waits for it asks nothing, and sees nothing. */
+    @Test
+    void aServerThatStandsStillCannotHide() throws Exception {
+        try (StandIn node = new StandIn(1)) {
+            Load load = new Load(plan(node.address(), 2_000, 2));
+            boolean[] stood = {false};
+            LoadResult r = load.run(line -> {
+                if (!stood[0]) {
+                    stood[0] = true;
+                    node.standStill(600);
+                }
+            });
+            assertTrue(stood[0]);
+            // of 2 s, 0.6 s of arrivals waited for 0 to 0.6 s: at least a tenth of all for 0.3 s and more
+            assertTrue(r.latencyMs(90) > 250, "p90 " + r.latencyMs(90));
+            assertEquals(r.due(), r.count(LoadResult.End.SERVED));
+        }
+    }
+
+    /** Danger: a generator that cannot keep up measures itself. */
+    @Test
+    void aGeneratorThatIsTooSlowSaysSo() throws Exception {
+        try (StandIn node = new StandIn(1)) {
+            LoadResult r = new Load(plan(node.address(), 1e7, 0.5)).run(line -> { });
+            assertTrue(r.voidFor().contains("generator"), r.voidFor() + ", late " + r.lateMs(99));
+        }
+    }
+
+    /** Danger: an answer that is another request's passes for service. */
+    @Test
+    void anAnswerWithAnotherIdIsNoService() throws Exception {
+        try (StandIn node = new StandIn(1)) {
+            node.confuse();
+            LoadResult r = new Load(plan(node.address(), 500, 0.4)).run(line -> { });
+            assertEquals(r.due(), r.count(LoadResult.End.WRONG));
+            assertEquals(0, r.count(LoadResult.End.SERVED));
+        }
+    }
+
+    @Test
+    void stoppedEarlyItTellsWhatThereIs() throws Exception {
+        try (StandIn node = new StandIn(1)) {
+            Load load = new Load(plan(node.address(), 1_000, 600));
+            LoadResult r = load.run(line -> load.stop());
+            assertTrue(r.due() > 100 && r.due() < 60_000, r.due() + " were due");
+            assertEquals("", r.voidFor());
+        }
+    }
+
+    @Test
+    void anotherMachineIsNeverLoadedAndADeafPortIsSaid() throws Exception {
+        assertThrows(IllegalArgumentException.class,
+            () -> plan(InetSocketAddress.createUnresolved("example.org", 80), 1, 1));
+        InetSocketAddress gone;
+        try (StandIn node = new StandIn(1)) {
+            gone = node.address();
+        }
+        Load load = new Load(plan(gone, 10, 1));
+        IOException e = assertThrows(IOException.class, () -> load.run(line -> { }));
+        assertTrue(e.getMessage().startsWith("8 of 8 connections did not come up"), e.getMessage());
+    }
+}
