--- a/lab/src/main/java/holdproxy/lab/cli/Main.java
+++ b/lab/src/main/java/holdproxy/lab/cli/Main.java
@@ -3,10 +3,14 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
-/** The lab's command line. Exit codes: 0 done, 1 a rule was broken, 2 a mistake in the call or a file, 3 it could not be done. */
+/**
+ * The lab's command line. Exit codes: 0 done, 1 a rule was broken, 2 a mistake in the call or a file, 3 it could not be
+ * done.
+ */
 @Command(name = "hatchlab", mixinStandardHelpOptions = true, version = "hatchlab 0.1.0",
     description = "Tries sites, settings and troubles before anybody rolls them out.",
-    subcommands = {Run.class, Check.class, Replay.class, LoadCommand.class})
+    subcommands = {Run.class, Check.class, Replay.class, Compare.class,
+        LoadCommand.class})
 public final class Main implements Runnable {
     static final int BROKEN = 1;
     static final int USAGE = 2;
--- a/lab/src/main/java/holdproxy/lab/experiment/Store.java
+++ b/lab/src/main/java/holdproxy/lab/experiment/Store.java
@@ -13,7 +13,10 @@
 import java.sql.SQLException;
 import java.sql.Statement;
 import java.util.HexFormat;
+import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 /**
  * Outcomes in an SQLite file, each there whole or not at all: a run that was ended, by SIGKILL too, goes on with what is
@@ -87,6 +90,24 @@
         }
     }
 
+    /** All outcomes of this variant that are there, by build and then by seed. */
+    public synchronized Map<String, SortedMap<Long, Outcome>> all(Experiment.Variant v) throws IOException {
+        Map<String, SortedMap<Long, Outcome>> all = new TreeMap<>();
+        try (PreparedStatement s = db.prepareStatement(
+                "SELECT build, seed, outcome FROM outcome WHERE variant = ?")) {
+            s.setString(1, digest(v));
+            try (ResultSet r = s.executeQuery()) {
+                while (r.next()) {
+                    all.computeIfAbsent(r.getString(1), b -> new TreeMap<>()).put(r.getLong(2),
+                        ExperimentFile.mapper().readValue(r.getString(3), Outcome.class));
+                }
+            }
+        } catch (SQLException e) {
+            throw new IOException("results cannot be read: " + e.getMessage(), e);
+        }
+        return all;
+    }
+
     /** Keeps it; it is on the disk when this returns. */
     public synchronized void keep(Experiment.Variant v, Outcome o) throws IOException {
         try (PreparedStatement s = db.prepareStatement("INSERT OR REPLACE INTO outcome VALUES (?, ?, ?, ?)")) {
--- a/lab/src/main/java/holdproxy/lab/load/StandIn.java
+++ b/lab/src/main/java/holdproxy/lab/load/StandIn.java
@@ -54,6 +54,7 @@
 
     @Override
     public void close() {
+        listening.close().syncUninterruptibly(); // first: with its loop gone a port may stay open and accept
         group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).awaitUninterruptibly(3_000);
     }
 
--- a/lab/src/test/java/holdproxy/lab/cli/RunKillTest.java
+++ b/lab/src/test/java/holdproxy/lab/cli/RunKillTest.java
@@ -72,6 +72,11 @@
         Path whole = folder.resolve("whole");
         run(0, "run", file.toString(), "--out", whole.toString());
         assertEquals(Files.readString(whole.resolve("figures.csv")), Files.readString(out.resolve("figures.csv")));
+        String same = run(0, "compare", file.toString(), out.toString(), whole.toString());
+        assertTrue(same.startsWith("one, 12 pairs") && !same.contains("better") && !same.contains("worse"), same);
+        Files.writeString(file, Files.readString(file).replace("nodes: 6", "nodes: 7"));
+        assertTrue(run(3, "compare", file.toString(), out.toString(), whole.toString())
+            .contains("one was not played as the file has it"));
         String html = Files.readString(out.resolve("report.html"));
         assertTrue(html.contains("&lt;b&gt; &amp; more") && html.contains("<svg") && !html.contains("http-equiv"), html);
     }
