--- a/lab/src/main/java/holdproxy/lab/load/LoadLine.java
+++ b/lab/src/main/java/holdproxy/lab/load/LoadLine.java
@@ -137,6 +137,12 @@
         loop.free(this);
     }
 
+    /** All that was read is dealt with: what waits goes out in one write for each connection. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        loop.freed();
+    }
+
     @Override
     protected void handlerRemoved0(ChannelHandlerContext ctx) {
         if (channel == null) {
--- a/lab/src/main/java/holdproxy/lab/load/LoadLoop.java
+++ b/lab/src/main/java/holdproxy/lab/load/LoadLoop.java
@@ -20,7 +20,9 @@
 /** One thread's part of a load. Requests become due at their times whatever becomes of those before them. */
 final class LoadLoop implements Runnable {
     private static final int MOST_WAITING = 200_000;
-    private static final long SPIN_NS = 2_000_000;
+    /** Below half a millisecond the selector does not wait, above it wakes up to a millisecond late. */
+    private static final long SOONEST_NS = 100_000;
+    private static final long LONG_NS = 2_000_000;
     private static final long LOOK_MS = 50;
     private static final long DIAL_AGAIN_MS = 20;
 
@@ -147,20 +149,17 @@
                 waiting.add(due);
             }
         }
-        send(now);
+        send();
         if (nextNs >= endNs) {
             sending = false;
             return;
         }
-        double left = nextNs - System.nanoTime();
-        if (left < SPIN_NS) {
-            loop.execute(this); // a timer of the selector's is a millisecond late
-        } else {
-            loop.schedule(this, (long) left - SPIN_NS / 2, TimeUnit.NANOSECONDS);
-        }
+        // never by execute: a loop runs tasks that call for themselves for up to a second before it looks at a socket
+        long left = (long) nextNs - System.nanoTime();
+        loop.schedule(this, Math.max(SOONEST_NS, left > LONG_NS ? left - LONG_NS / 2 : 0), TimeUnit.NANOSECONDS);
     }
 
-    private void send(long now) {
+    private void send() {
         while (!waiting.isEmpty()) {
             LoadLine line = free.poll();
             if (line == null) {
@@ -222,13 +221,16 @@
         for (int i = 0; i < plan.pipeline(); i++) {
             free.add(line);
         }
-        send(System.nanoTime());
+        send();
     }
 
     void free(LoadLine line) {
         free.add(line);
+    }
+
+    void freed() {
         if (!waiting.isEmpty()) {
-            send(System.nanoTime());
+            send();
         }
     }
 
