--- a/fleet/src/main/java/holdproxy/agent/Journal.java
+++ b/fleet/src/main/java/holdproxy/agent/Journal.java
@@ -4,6 +4,7 @@
 import holdproxy.BadInput;
 import holdproxy.supervise.Entry;
 import holdproxy.supervise.Identity;
+import holdproxy.supervise.Policy;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -234,6 +235,7 @@
             o.put("start", i.start());
             o.put("secret", i.secret());
             o.put("launch", i.launch());
+            o.put("forkMs", i.forkMs());
         } else if (entry instanceof Entry.Spawned s) {
             o.put("spawned", s.name());
             o.put("start", s.start());
@@ -270,7 +272,8 @@
             } else if (o.get("wanted") instanceof String name) {
                 return new Entry.Wanted(name, (Boolean) o.get("running"));
             } else if (o.get("intent") instanceof String name) {
-                return new Entry.Intent(name, number(o, "start"), text(o, "secret"), text(o, "launch"));
+                return new Entry.Intent(name, number(o, "start"), text(o, "secret"), text(o, "launch"),
+                    o.containsKey("forkMs") ? number(o, "forkMs") : Policy.USUAL.forkMs()); // older lines have none
             } else if (o.get("spawned") instanceof String name) {
                 Identity who = new Identity(((Number) o.get("pid")).longValue(),
                     ((Number) o.get("startTicks")).longValue(), text(o, "bootId"));
--- a/fleet/src/main/java/holdproxy/supervise/Entry.java
+++ b/fleet/src/main/java/holdproxy/supervise/Entry.java
@@ -9,8 +9,11 @@
 
     record Wanted(String name, boolean running) implements Entry { }
 
-    /** Start number {@code start} of this name is about to be made. */
-    record Intent(String name, int start, String secret, String launch) implements Entry { }
+    /**
+     * Start number {@code start} of this name is about to be made; {@code forkMs} after this was written its process is
+     * there, or never will be. Written with it, since the name may not be declared any more when it is read again.
+     */
+    record Intent(String name, int start, String secret, String launch, long forkMs) implements Entry { }
 
     record Spawned(String name, int start, Identity identity) implements Entry { }
 
--- a/fleet/src/main/java/holdproxy/supervise/Member.java
+++ b/fleet/src/main/java/holdproxy/supervise/Member.java
@@ -19,6 +19,8 @@
     String secret = "";
     String launched = "";
     Identity identity;
+    /** So long after it was announced the last start's process is there, or never will be. */
+    long forkMs = Policy.USUAL.forkMs();
     /** Starts before this one that nobody saw end, oldest first: one of them may live and hold the name. */
     final List<Start> earlier = new ArrayList<>();
     /** Its last start ended since another process holds its name: that one is searched for. */
@@ -63,7 +65,7 @@
     String trouble = "";
 
     /** What proves that a process is of one start; its process, null where none was ever known. */
-    record Start(int number, String secret, String launch, Identity identity) { }
+    record Start(int number, String secret, String launch, Identity identity, long forkMs) { }
 
     Member(String name) {
         this.name = name;
--- a/fleet/src/main/java/holdproxy/supervise/Supervisor.java
+++ b/fleet/src/main/java/holdproxy/supervise/Supervisor.java
@@ -93,6 +93,7 @@
             m.start = i.start();
             m.secret = i.secret();
             m.launched = i.launch();
+            m.forkMs = i.forkMs();
             m.identity = null;
             m.state = State.ADOPTED;
             m.searching = true;
@@ -143,7 +144,7 @@
 
     /** Its last start is taken for gone, and nobody has its exit code: it may live all the same. */
     private static void unseen(Member m) {
-        m.earlier.add(new Member.Start(m.start, m.secret, m.launched, m.identity));
+        m.earlier.add(new Member.Start(m.start, m.secret, m.launched, m.identity, m.forkMs));
         if (m.earlier.size() > EARLIER_MOST) {
             m.earlier.remove(0);
         }
@@ -171,7 +172,7 @@
             }
             for (Member.Start s : m.earlier) {
                 if (s.number() != m.start) { // that one is written below
-                    all.add(new Entry.Intent(m.name, s.number(), s.secret(), s.launch()));
+                    all.add(new Entry.Intent(m.name, s.number(), s.secret(), s.launch(), s.forkMs()));
                     if (s.identity() != null) {
                         all.add(new Entry.Spawned(m.name, s.number(), s.identity()));
                     }
@@ -182,7 +183,7 @@
                 if (m.failures > 0 && m.state.mayRun()) {
                     all.add(new Entry.Ended(m.name, m.start - 1, m.code, m.failures));
                 }
-                all.add(new Entry.Intent(m.name, m.start, m.secret, m.launched));
+                all.add(new Entry.Intent(m.name, m.start, m.secret, m.launched, m.forkMs));
                 if (m.identity != null) {
                     all.add(new Entry.Spawned(m.name, m.start, m.identity));
                 }
@@ -366,7 +367,7 @@
             step(m, now);
         } else if (m.identity != null) {
             gone(now, name, start, -1);
-        } else if (m.askedMs >= m.sinceMs + policy(m).forkMs()) { // looked since a fork was possible last
+        } else if (m.askedMs >= m.sinceMs + m.forkMs) { // looked since a fork was possible last
             m.searching = false;
             out.say(name, "start " + start + " was announced and never made");
             m.trouble = "";
@@ -443,12 +444,13 @@
         }
         // it counts as a start of its own, with the secret that it has: numbers never go back
         Member.Start it = holder(m);
-        if (!out.note(new Entry.Intent(m.name, m.start + 1, it.secret(), it.launch()))) {
+        if (!out.note(new Entry.Intent(m.name, m.start + 1, it.secret(), it.launch(), it.forkMs()))) {
             return; // asked again, after a pause
         }
         m.start++;
         m.secret = it.secret();
         m.launched = it.launch();
+        m.forkMs = it.forkMs();
         m.identity = identity;
         m.held = false;
         m.searching = false;
@@ -708,7 +710,7 @@
             return;
         }
         if (m.searching) {
-            long next = m.asked ? policy(m).forkMs() : policy(m).probeMs() / 5; // lost, or answered
+            long next = m.asked ? m.forkMs : policy(m).probeMs() / 5; // lost, or answered
             if (now >= m.askedMs + next) {
                 search(m, now);
             }
@@ -775,7 +777,7 @@
         } else if (m.want == Member.Want.RUNNING && m.spec != null && m.state != State.GIVEN_UP
                 && now >= m.nextMs) {
             String secret = out.secret();
-            if (!out.note(new Entry.Intent(m.name, m.start + 1, secret, m.spec.launch()))) {
+            if (!out.note(new Entry.Intent(m.name, m.start + 1, secret, m.spec.launch(), policy(m).forkMs()))) {
                 m.nextMs = now + policy(m).backoffMs();
                 m.trouble = "not started: the journal cannot be written";
                 return;
@@ -783,6 +785,7 @@
             m.start++;
             m.secret = secret;
             m.launched = m.spec.launch();
+            m.forkMs = policy(m).forkMs();
             m.identity = null;
             m.digest = "";
             m.refused = "";
--- a/fleet/src/test/java/holdproxy/agent/JournalTest.java
+++ b/fleet/src/test/java/holdproxy/agent/JournalTest.java
@@ -31,7 +31,7 @@
     private static final String SITE = "{\"name\":\"s\",\n\t\"x\":\"\u00e4\u2028\ud83d\ude00\\\" \u0000\"}";
     /** Each kind, with the ends of its ranges. */
     private static final List<Entry> ALL = List.of(new Entry.Declared(SITE), new Entry.Wanted("n0", true),
-        new Entry.Wanted("n0", false), new Entry.Intent("n0", 1, "secret", "0123456789abcdef"),
+        new Entry.Wanted("n0", false), new Entry.Intent("n0", 1, "secret", "0123456789abcdef", 4_321),
         new Entry.Spawned("n0", 1, new Identity(Long.MAX_VALUE, 1L << 40, "boot")),
         new Entry.Spawned("n0", Integer.MAX_VALUE, new Identity(7, -1, "")),
         new Entry.Ended("n0", 1, -1, 0), new Entry.Ended("n0", 2, 255, Integer.MAX_VALUE),
--- a/fleet/src/test/java/holdproxy/supervise/SupervisorScheduleTest.java
+++ b/fleet/src/test/java/holdproxy/supervise/SupervisorScheduleTest.java
@@ -1,6 +1,7 @@
 package holdproxy.supervise;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
@@ -13,6 +14,8 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The core over seeded schedules of crashes, late answers, agent deaths and wishes.
@@ -83,6 +86,16 @@
         }
     }
 
+    /**
+     * Danger: a start of a name that is not declared any more, looked for only as long as the usual policy says, is told as
+     * never made while its process is still to come.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {109_306, 122_735, 126_268})
+    void aStartIsLookedForAsLongAsItsOwnPolicySaid(long seed) {
+        assertNull(Plan.of(seed).broken());
+    }
+
     @Test
     void holdsWhateverHappens() {
         String one = System.getProperty("supervise.seed");
