--- a/lab/src/main/java/holdproxy/lab/emulator/SimHost.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/SimHost.java
@@ -20,9 +20,14 @@
     long extraNs;
     /** Which part of a torn network it is in: the same part is reached, and 0 reaches all. */
     int part;
+    /** What the other parts send reaches it all the same: the network is torn one way. */
+    boolean hears;
+    /** Connections that end here, oldest first. */
+    final Set<SimWire> wires = new LinkedHashSet<>();
 
+    /** Whether nothing gets from here to the other. */
     boolean apart(SimHost other) {
-        return part != other.part && part != 0 && other.part != 0;
+        return part != other.part && part != 0 && other.part != 0 && !other.hears;
     }
 
     SimHost(String name) {
--- a/lab/src/main/java/holdproxy/lab/emulator/SimNet.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/SimNet.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
+import java.util.function.ToLongBiFunction;
 
 /**
  * Connections in memory on a world's time: in order, with a delay and a window for each direction, and with
@@ -34,6 +35,8 @@
     private final Map<InetSocketAddress, SimPlace> places = new LinkedHashMap<>();
     private final Map<Long, SimWire> wires = new LinkedHashMap<>();
     private final Map<String, Map<String, Long>> latencies = new HashMap<>();
+    /** For pairs that nothing is said of by name; negative for what is usual. */
+    private ToLongBiFunction<String, String> ways = (a, b) -> -1;
     private final Map<String, SimMachine> machines = new HashMap<>();
     private final InetAddress loopback;
     private long latencyNs = LATENCY_NS;
@@ -147,6 +150,11 @@
         latencies.computeIfAbsent(b, x -> new HashMap<>()).put(a, ns);
     }
 
+    /** One way in ns by the names of dialler and acceptor, negative for the usual; a table of all pairs is too large. */
+    void ways(ToLongBiFunction<String, String> by) {
+        ways = by;
+    }
+
     /** Up to so much more for each that is sent, by the seed; the order in a connection stays. */
     void jitter(long ns) {
         jitterNs = ns;
@@ -183,12 +191,18 @@
     /** The same for all links of this machine, to and from it. */
     void isolate(String who, boolean on) {
         host(who).heldUntil = on ? EVER : 0;
-        moveAll();
+        move(host(who));
     }
 
-    /** Tears the network: machines of different parts do not reach one another; part 0 reaches all. */
-    void parts(Map<String, Integer> byName) {
-        byName.forEach((name, part) -> host(name).part = part);
+    /**
+     * Tears the network: machines of different parts do not reach one another; part 0 reaches all. Of those in
+     * {@code hearing} it is torn one way only: what the others send reaches them.
+     */
+    void parts(Map<String, Integer> byName, int hearing) {
+        byName.forEach((name, part) -> {
+            host(name).part = part;
+            host(name).hears = part != 0 && part == hearing;
+        });
         moveAll();
     }
 
@@ -200,7 +214,7 @@
 
     void stall(String who, long untilNs) {
         host(who).heldUntil = untilNs;
-        moveAll();
+        move(host(who));
     }
 
     void stallLink(long link, long untilNs) {
@@ -312,6 +326,13 @@
         }
     }
 
+    private static void move(SimHost host) {
+        for (SimWire w : host.wires) {
+            w.near.move();
+            w.far.move();
+        }
+    }
+
     SimPlace bind(SimHost host, InetSocketAddress at, SimPlace.Acceptor acceptor) throws BindException {
         InetSocketAddress where = at;
         while (where.getPort() == 0) {
@@ -342,10 +363,14 @@
 
     void keep(SimWire w) {
         wires.put(w.id, w);
+        w.dialler.wires.add(w);
+        w.acceptor.wires.add(w);
     }
 
     void forget(SimWire w) {
         wires.remove(w.id);
+        w.dialler.wires.remove(w);
+        w.acceptor.wires.remove(w);
     }
 
     long latencyNs() {
@@ -354,7 +379,9 @@
 
     long latencyNs(String a, String b) {
         Map<String, Long> from = latencies.isEmpty() ? null : latencies.get(a);
-        return from == null ? latencyNs : from.getOrDefault(b, latencyNs);
+        Long own = from == null ? null : from.get(b);
+        long way = own != null ? own : ways.applyAsLong(a, b);
+        return way < 0 ? latencyNs : way;
     }
 
     long jitter() {
--- a/lab/src/main/java/holdproxy/lab/emulator/SiteModel.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/SiteModel.java
@@ -14,11 +14,16 @@
  * @param quotas what the tenants' shares come to in all, as a share of what the nodes can do when warm
  * @param warmMs caches fill and proxies learn; nothing counts and nothing goes wrong
  * @param lengthMs what counts
+ * @param load its shape over time, in seconds from the end of the warm-up: straight between points, flat outside them
  * @param judged whether the four rules are judged, for which the whole record is kept: about 1 GB for 100,000 requests
  */
 public record SiteModel(List<String> zones, int proxies, int nodes, double ofCapacity, double quotas, int warmMs, int lengthMs,
         boolean judged, List<Machine> machines, Node node, Network network, Origin origin, Discovery discovery,
-        Clients clients, Proxy proxy, List<RequestClass> classes, List<Tenant> tenants) {
+        Clients clients, Proxy proxy, List<RequestClass> classes, List<Tenant> tenants, List<Point> load) {
+
+    /** From {@code at} s on clients ask for {@code times} the usual. */
+    public record Point(double at, double times) {
+    }
 
     /** A kind of machine: its share of the nodes, a core's speed (1: the yardstick), the weight that discovery lists. */
     public record Machine(String name, double share, double speed, double weight) {
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/emulator/Worth.java
@@ -0,0 +1,68 @@
+package holdproxy.lab.emulator;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What requests come to, taken one by one in the order in which they were asked. */
+final class Worth {
+    private final Site site;
+    private final long fromNs;
+    private final double windowS;
+    /** Of all that were asked, those that were served fill each tenant's share: whom a proxy serves is its own choice. */
+    private final Map<String, double[]> served = new HashMap<>();
+    private final double[] all = new double[2];
+    private final Map<String, double[]> kinds = new TreeMap<>();
+    private final Map<String, double[]> tenants = new TreeMap<>();
+    private final Map<Long, double[]> windows = new TreeMap<>();
+
+    /** What was asked before does not count, and windows of so long begin then. */
+    Worth(Site site, long fromNs, double windowS) {
+        this.site = site;
+        this.fromNs = fromNs;
+        this.windowS = windowS;
+    }
+
+    void take(Ledger.Entry e) {
+        if (!e.counted || e.askedNs < fromNs) {
+            return;
+        }
+        boolean inShare = e.result.served() && Ledger.inShare(site, served, e.tenant, e.askedNs);
+        double asked = e.kind.value() * (e.inShare ? 1 : site.overShareWorth);
+        double worth = e.kind.value() * (inShare ? 1 : site.overShareWorth);
+        double earned = switch (e.result) {
+            case IN_TIME -> worth;
+            case LATE -> worth * e.kind.lateWorth();
+            default -> 0;
+        };
+        long window = (long) ((e.askedNs - fromNs) / 1e9 / windowS);
+        add(all, asked, earned);
+        add(kinds.computeIfAbsent(e.kind.name(), k -> new double[2]), asked, earned);
+        add(windows.computeIfAbsent(window, w -> new double[2]), asked, earned);
+        add(tenants.computeIfAbsent(e.tenant, t -> new double[2]), e.inShare ? asked : 0, inShare ? earned : 0);
+    }
+
+    Ledger.Sum sum() {
+        double worst = 1;
+        for (double[] w : windows.values()) {
+            worst = w[0] > 0 ? Math.min(worst, w[1] / w[0]) : worst;
+        }
+        return new Ledger.Sum(part(all), parts(kinds), parts(tenants), worst);
+    }
+
+    private static void add(double[] sums, double asked, double earned) {
+        sums[0] += asked;
+        sums[1] += earned;
+    }
+
+    private static double part(double[] sums) {
+        return sums[0] == 0 ? 1 : Math.min(1, sums[1] / sums[0]);
+    }
+
+    private static Map<String, Double> parts(Map<String, double[]> sums) {
+        Map<String, Double> parts = new LinkedHashMap<>();
+        sums.forEach((name, s) -> parts.put(name, part(s)));
+        return parts;
+    }
+}
