--- a/lab/src/main/java/holdproxy/lab/cli/Replay.java
+++ b/lab/src/main/java/holdproxy/lab/cli/Replay.java
@@ -26,12 +26,19 @@
     @Spec
     private CommandSpec spec;
 
+    static Experiment.Variant named(Experiment x, String name, Path file, CommandSpec spec) {
+        return name == null ? x.variants().get(0) : x.variants().stream().filter(v -> v.name().equals(name)).findFirst()
+            .orElseThrow(() -> new ParameterException(spec.commandLine(), "--variant: there is no " + name + " in " + file));
+    }
+
     @Override
     public Integer call() throws Exception {
         Experiment x = ExperimentFile.read(file);
-        Experiment.Variant v = variant == null ? x.variants().get(0) : x.variants().stream()
-            .filter(some -> some.name().equals(variant)).findFirst().orElseThrow(() -> new ParameterException(
-                spec.commandLine(), "--variant: there is no " + variant + " in " + file));
+        Experiment.Variant v = named(x, variant, file, spec);
+        if (!v.build().isEmpty()) {
+            throw new ParameterException(spec.commandLine(), "--variant: " + v.name() + " is of build " + v.build()
+                + ", and this one replays itself alone");
+        }
         Outcome o = Emulation.play(v.site(), v.troubles(), seed);
         PrintWriter out = spec.commandLine().getOut();
         o.figures().forEach((name, value) -> out.printf("%-28s %s%n", name, Report.number(value)));
--- a/lab/src/main/java/holdproxy/lab/cli/Run.java
+++ b/lab/src/main/java/holdproxy/lab/cli/Run.java
@@ -1,5 +1,7 @@
 package holdproxy.lab.cli;
 
+import holdproxy.lab.experiment.Builds;
+import holdproxy.lab.experiment.Engine;
 import holdproxy.lab.experiment.Experiment;
 import holdproxy.lab.experiment.ExperimentFile;
 import holdproxy.lab.experiment.Results;
@@ -32,6 +34,14 @@
     private int threads = Runtime.getRuntime().availableProcessors();
     @Option(names = "--seeds", paramLabel = "N", description = "so many, in place of what the file says")
     private Integer seeds;
+    @Option(names = "--engine", paramLabel = "NAME", description = "simulated, or processes: real ones on loopback, in real"
+        + " time, one play after the other (${DEFAULT-VALUE})")
+    private Engine engine = Engine.SIMULATED;
+    @Option(names = "--proxy-jar", paramLabel = "FILE", description = "the proxy that processes run; the one built beside"
+        + " the lab if none is named")
+    private Path proxyJar;
+    @Option(names = "--repository", paramLabel = "FOLDER", description = "where commits are looked for (${DEFAULT-VALUE})")
+    private Path repository = Path.of(".");
     @Spec
     private CommandSpec spec;
 
@@ -48,8 +58,9 @@
             : new Experiment(read.name(), read.question(), read.firstSeed(), seeds, read.variants());
         Path folder = out == null ? Path.of("found", x.name()) : out;
         PrintWriter err = spec.commandLine().getErr();
-        try (Store store = new Store(folder.resolve("results.db"))) {
-            Results r = new Runner(store, threads).run(x, (done, all) -> {
+        try (Store store = new Store(folder.resolve("results.db"));
+                Builds builds = new Builds(folder, repository, engine, proxyJar == null ? beside() : proxyJar)) {
+            Results r = new Runner(store, builds, engine == Engine.PROCESSES ? 1 : threads).run(x, (done, all) -> {
                 err.printf("\r%d of %d plays", done, all);
                 err.flush();
             });
@@ -61,6 +72,14 @@
         }
     }
 
+    /** Of this build: {@code lab/target/hatchlab.jar} has it in {@code proxy/target}. */
+    private static Path beside() {
+        Path jar = Path.of(System.getProperty("java.class.path").split(java.io.File.pathSeparator)[0]).toAbsolutePath();
+        Path root = jar.getParent() == null || jar.getParent().getParent() == null ? null
+            : jar.getParent().getParent().getParent();
+        return root == null ? Path.of("holdproxy.jar") : root.resolve(Path.of("proxy", "target", "holdproxy.jar"));
+    }
+
     private void print(Results r) {
         PrintWriter to = spec.commandLine().getOut();
         List<Experiment.Variant> all = r.experiment().variants();
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/emulator/Reality.java
@@ -0,0 +1,537 @@
+package holdproxy.lab.emulator;
+
+import holdproxy.lab.check.Checker;
+import holdproxy.lab.check.Findings;
+import holdproxy.lab.check.Rules;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.AbstractList;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The same site in real time on loopback: each proxy a process of the program itself, killed, stopped and ended by
+ * signals; nodes, clients, origin and discovery as stand-ins on one thread, the ways between zones through a
+ * {@link Relay}. The machine's own speed and chance are part of what comes out: no two plays are the same.
+ */
+public final class Reality implements AutoCloseable {
+    /** What this engine cannot do to a site. */
+    public static final Set<Trouble.Kind> NOT_HERE = Set.of(Trouble.Kind.SITE_CUT);
+    private static final String REGISTRY = "registry";
+    private static final long MS = 1_000_000;
+    private static final long AFTER_MS = 4_000;
+    private static final long READY_MS = 30_000;
+    private static final long TERM_TO_KILL_MS = 3_700;
+    /** What a busy machine may add: {@link SocketTown} says why. */
+    private static final double MACHINE_MS = 250;
+    private static final double LATE_ANSWER_MS = 1_000;
+    private static final int MOST_TOLD = 20;
+
+    /**
+     * How a proxy is started.
+     *
+     * @param command its process, without a shell
+     * @param folder for configurations and logs
+     */
+    public record Program(List<String> command, Path folder) {
+    }
+
+    private final class Seat {
+        private final int index;
+        private final InetSocketAddress listen;
+        private final InetSocketAddress discoveryAt;
+        private Process process;
+        private boolean fronted;
+        private long cpuMs;
+        private int life;
+
+        Seat(int index) throws IOException {
+            this.index = index;
+            try (ServerSocket free = new ServerSocket()) {
+                free.bind(at(4));
+                listen = (InetSocketAddress) free.getLocalSocketAddress();
+            }
+            discoveryAt = net.call(() -> discovery.serve(name(), at(3)));
+        }
+
+        String name() {
+            return Site.name(index);
+        }
+
+        String zone() {
+            return site.zoneOf(index);
+        }
+
+        boolean up() {
+            return process != null && process.isAlive();
+        }
+    }
+
+    private final SiteModel model;
+    private final List<Trouble> troubles;
+    private final Program program;
+    private final long seed;
+    private final Blueprint plan;
+    private final Site site;
+    private final SplittableRandom chance;
+    private final RealNet net = new RealNet();
+    private final Relay relay;
+    /** Starts processes: a fork would hold the stand-ins' thread. */
+    private final ExecutorService starter = Executors.newSingleThreadExecutor();
+    private final Map<String, GroupMemory> memories;
+    private final Origin origin;
+    private final Ledger ledger;
+    private final Tally tally;
+    private final Meter meter;
+    private final List<ScriptedNode> nodes = new ArrayList<>();
+    private final List<Seat> seats = new ArrayList<>();
+    /** Of nodes in other zones, by zone and node. */
+    private final Map<String, InetSocketAddress> doors = new HashMap<>();
+    private final ScriptedDiscovery discovery;
+    private final ScriptedClient greeter;
+    private final int seconds;
+    private double burst = 1;
+    private double growth = 1;
+    private long fromNs = Long.MAX_VALUE;
+    private IOException failed;
+    private boolean over;
+
+    private Reality(SiteModel model, List<Trouble> troubles, long seed, Program program) throws IOException {
+        this.model = model;
+        this.troubles = troubles;
+        this.seed = seed;
+        this.program = program;
+        Files.createDirectories(program.folder());
+        chance = new SplittableRandom(Draw.hash("troubles", seed));
+        plan = new Blueprint(model, seed);
+        site = plan.site;
+        seconds = model.lengthMs() / 1000;
+        relay = new Relay(model.network().crossMs());
+        memories = site.memories();
+        origin = plan.origin(net);
+        ledger = new Ledger(site);
+        tally = new Tally(site, 0, seconds);
+        meter = new Meter(nodes, origin, seconds);
+        for (Town.Machine m : plan.machines) {
+            net.run(() -> node(m).start(1));
+        }
+        for (ScriptedNode n : nodes) {
+            doors(n);
+        }
+        net.run(() -> Placement.of(nodes, model.clients().keys()));
+        List<NodeEntry> first = nodes.stream().map(ScriptedNode::entry).toList();
+        discovery = net.call(() -> new ScriptedDiscovery(net, REGISTRY, site.askWithinMs, 1, first));
+        discovery.linesPerS = model.discovery().linesPerS();
+        discovery.callLines = model.discovery().callLines();
+        discovery.seenBy = this::seen;
+        greeter = new ScriptedClient(net, "front", site, plan.clients, ledger, List.of(), 1);
+        for (int i = 0; i < model.proxies(); i++) {
+            seats.add(new Seat(i));
+        }
+    }
+
+    /**
+     * Plays it, which takes as long as the site's times say. IllegalArgumentException with all that is wrong with the
+     * site, IOException where a proxy does not get ready.
+     */
+    public static Outcome play(SiteModel model, List<Trouble> troubles, long seed, Program program)
+            throws IOException, InterruptedException {
+        List<String> wrong = new ArrayList<>(SiteCheck.of(model, troubles));
+        for (int i = 0; i < troubles.size(); i++) {
+            if (NOT_HERE.contains(troubles.get(i).kind())) {
+                wrong.add("troubles[" + i + "].kind: " + troubles.get(i).kind() + " is for simulated time only");
+            }
+        }
+        if (!wrong.isEmpty()) {
+            throw new IllegalArgumentException(String.join("; ", wrong));
+        }
+        try (Reality r = new Reality(model, troubles, seed, program)) {
+            return r.play();
+        }
+    }
+
+    // ---- what there is ----
+
+    private static InetSocketAddress at(int third) {
+        return NodeEntry.address("127.0." + third + ".1:0");
+    }
+
+    private ScriptedNode node(Town.Machine on) {
+        int i = nodes.size();
+        ScriptedNode n = new ScriptedNode(net, site.entry(i, at(2), on.kind(), on.weight()), site.model(on.speed()),
+            new ScriptedNode.Shared(origin, memories), Draw.hash("node " + i, seed));
+        plan.furnish(n);
+        nodes.add(n);
+        return n;
+    }
+
+    private void doors(ScriptedNode n) {
+        for (String zone : site.zones) {
+            if (!zone.equals(n.entry().zone())) {
+                doors.put(zone + " " + n.name(), relay.door(zone, n.entry().zone(), n::address));
+            }
+        }
+    }
+
+    private NodeEntry seen(String proxy, NodeEntry e) {
+        String zone = seats.stream().filter(s -> s.name().equals(proxy)).findFirst().map(Seat::zone).orElse("");
+        InetSocketAddress door = doors.get(zone + " " + e.id());
+        return door == null ? e : e.at(door);
+    }
+
+    private final class Front extends AbstractList<InetSocketAddress> {
+        private final List<Integer> own;
+        private List<InetSocketAddress> now = List.of();
+
+        Front(int index) {
+            own = plan.near(index);
+        }
+
+        @Override
+        public int size() {
+            now = own.stream().map(seats::get).filter(s -> s.fronted).map(s -> s.listen).toList();
+            if (now.isEmpty()) {
+                now = seats.stream().filter(s -> s.fronted).map(s -> s.listen).toList();
+            }
+            return now.size();
+        }
+
+        @Override
+        public InetSocketAddress get(int i) {
+            return now.get(i); // whoever asks has asked for the size just before
+        }
+    }
+
+    // ---- processes ----
+
+    /** On the net's thread. */
+    private void start(Seat s) {
+        if (over || s.up()) {
+            return;
+        }
+        long version = discovery.version();
+        List<NodeEntry> known = discovery.entries().stream().map(e -> seen(s.name(), e)).toList();
+        String config = site.config(s.index, seats.size(), s.listen, s.discoveryAt, Draw.hash(s.name(), seed), version,
+            known);
+        net.fact(s.name(), "start", "");
+        net.fact(REGISTRY, "told", s.name() + " " + version + " full "
+            + String.join(",", known.stream().map(e -> e.id() + ":" + e.state()).toList()));
+        discovery.restarted(s.name(), version);
+        int life = ++s.life;
+        starter.execute(() -> {
+            try {
+                Path file = program.folder().resolve(s.name() + ".json");
+                Files.writeString(file, config);
+                ProcessBuilder b = new ProcessBuilder(program.command()).redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(program.folder().resolve(s.name() + ".log").toFile()));
+                b.environment().putAll(Site.env(s.index, s.listen, s.discoveryAt, file.toString()));
+                Process p = b.start();
+                net.after(0, () -> began(s, life, p));
+            } catch (IOException e) {
+                failed = e;
+            }
+        });
+    }
+
+    private void began(Seat s, int life, Process p) {
+        s.process = p;
+        s.cpuMs = 0;
+        if (over) {
+            p.destroyForcibly();
+            return;
+        }
+        greeter.greet(s.listen, () -> s.fronted = life == s.life && p.isAlive());
+    }
+
+    private void kill(Seat s) {
+        if (s.up()) {
+            net.fact(s.name(), "kill", "");
+            int life = s.life;
+            s.process.destroyForcibly();
+            net.after((long) (model.clients().frontNoticeMs() * MS), () -> s.fronted &= life != s.life);
+        }
+    }
+
+    private void killed(Seat s, double downSeconds) {
+        kill(s);
+        after(downSeconds, () -> again(s));
+    }
+
+    /** Once the process before it is gone: its address is taken until then. */
+    private void again(Seat s) {
+        if (s.up() && !over) {
+            net.after(20 * MS, () -> again(s));
+        } else {
+            start(s);
+        }
+    }
+
+    private void termed(Seat s) {
+        if (!s.up()) {
+            return;
+        }
+        net.fact(s.name(), "term", "");
+        int life = s.life;
+        net.after(300 * MS, () -> s.fronted &= life != s.life);
+        s.process.destroy();
+        net.after(TERM_TO_KILL_MS * MS, () -> {
+            if (life == s.life) {
+                kill(s);
+            }
+        });
+        again(s);
+    }
+
+    private void stalled(Seat s, double lasts) {
+        if (s.up()) {
+            long pid = s.process.pid();
+            net.fact(s.name(), "paused", Long.toString((long) (lasts * 1e9)));
+            signal("-STOP", pid);
+            after(lasts, () -> signal("-CONT", pid));
+        }
+    }
+
+    private void signal(String which, long pid) {
+        starter.execute(() -> {
+            try {
+                new ProcessBuilder("kill", which, Long.toString(pid)).start().waitFor();
+            } catch (IOException e) {
+                failed = e;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    // ---- what goes wrong ----
+
+    private void after(double s, Runnable what) {
+        net.after((long) (s * 1e9), what);
+    }
+
+    private <T> List<T> some(List<T> of, double share) {
+        List<T> all = new ArrayList<>(of);
+        Collections.shuffle(all, new java.util.Random(chance.nextLong()));
+        return all.subList(0, (int) Math.round(share * all.size()));
+    }
+
+    private void listed(ScriptedNode n) {
+        after(model.discovery().joinMs() / 1e3, () -> {
+            if (n.up()) {
+                discovery.serving(n.entry());
+            }
+        });
+    }
+
+    private void dies(ScriptedNode n, double downSeconds) {
+        n.stop();
+        after(model.discovery().goneMs() / 1e3, () -> {
+            if (!n.up()) {
+                discovery.remove(n.name());
+            }
+        });
+        after(downSeconds, () -> {
+            if (!n.up() && !over) {
+                n.start(model.node().coldFrom());
+                listed(n);
+            }
+        });
+    }
+
+    private void tear(String zone, boolean closed, boolean bothWays) {
+        for (String other : site.zones) {
+            if (!other.equals(zone)) {
+                relay.closed(zone, other, closed);
+                relay.closed(other, zone, closed && bothWays);
+            }
+        }
+    }
+
+    private void begin(Trouble t) {
+        switch (t.kind()) {
+            case BURST -> {
+                burst *= t.times();
+                after(t.seconds(), () -> burst /= t.times());
+            }
+            case SITE_APART, SITE_UNHEARD -> {
+                tear(t.zone(), true, t.kind() == Trouble.Kind.SITE_APART);
+                after(t.seconds(), () -> tear(t.zone(), false, true));
+            }
+            case SITE_LOST -> {
+                nodes.stream().filter(n -> n.entry().zone().equals(t.zone())).forEach(n -> dies(n, t.seconds()));
+                seats.stream().filter(s -> s.zone().equals(t.zone())).forEach(s -> killed(s, t.seconds()));
+            }
+            case NODES_SLOW -> some(nodes, t.share()).forEach(n -> {
+                n.model.speed /= t.times();
+                after(t.seconds(), () -> n.model.speed *= t.times());
+            });
+            case NODES_RESTARTED -> some(nodes, t.share()).forEach(n -> dies(n, t.seconds()));
+            case GROW -> grows(t);
+            case FLUSH -> {
+                long salt = chance.nextLong();
+                nodes.forEach(n -> n.flush(t.share(), salt));
+            }
+            case SCAN -> {
+                plan.clients.scans = t.share();
+                after(t.seconds(), () -> plan.clients.scans = 0);
+            }
+            case PROXIES_KILLED -> some(seats, t.share()).forEach(s -> killed(s, 0));
+            case PROXIES_ROLLED -> seats.forEach(s -> after(t.seconds() * s.index / seats.size(), () -> termed(s)));
+            case PROXIES_STALLED -> some(seats, t.share()).forEach(s -> stalled(s, t.seconds()));
+            case DISCOVERY_SILENT -> {
+                discovery.down(true);
+                after(t.seconds(), () -> discovery.down(false));
+            }
+            case TENANT_SURGE -> {
+                burst *= plan.usage(t.tenant(), t.times());
+                after(t.seconds(), () -> burst *= plan.usage(t.tenant(), 1 / t.times()));
+            }
+            default -> throw new IllegalStateException(t.kind().toString());
+        }
+    }
+
+    private void grows(Trouble t) {
+        int more = (int) Math.round(model.nodes() * (t.times() - 1));
+        for (int i = 1; i <= more; i++) {
+            after(t.seconds() * i / more, () -> {
+                ScriptedNode n = node(plan.machines.get(chance.nextInt(plan.machines.size())));
+                n.start(model.node().coldFrom());
+                doors(n);
+                listed(n);
+                growth += t.share() / model.nodes();
+            });
+        }
+    }
+
+    // ---- the play ----
+
+    private Outcome play() throws IOException, InterruptedException {
+        long began = System.nanoTime();
+        net.run(() -> seats.forEach(this::start));
+        ready();
+        CountDownLatch end = new CountDownLatch(1);
+        net.run(() -> {
+            fromNs = net.nowNs() + model.warmMs() * MS;
+            ledger.fromNs = fromNs;
+            tally.from(fromNs);
+            ledger.given(tally::take);
+            long endNs = fromNs + model.lengthMs() * MS;
+            for (Seat s : seats) {
+                String who = "c" + s.index;
+                ScriptedClient c = new ScriptedClient(net, who, site, plan.clients, ledger, new Front(s.index),
+                    Draw.hash(who, seed));
+                double usual = plan.perS / seats.size();
+                c.arrivals(endNs, () -> usual * burst * growth * plan.shape((net.nowNs() - fromNs) / 1e9));
+            }
+            for (Trouble t : troubles) {
+                net.after(fromNs + (long) (t.at() * 1e9) - net.nowNs(), () -> begin(t));
+            }
+            net.after(fromNs - net.nowNs(), this::sample);
+            net.after(endNs + AFTER_MS * MS - net.nowNs(), end::countDown);
+        });
+        end.await();
+        List<String> broken = new ArrayList<>();
+        if (failed != null) {
+            throw failed;
+        }
+        net.await(() -> true, 0); // throws what a stand-in has thrown
+        if (model.judged()) {
+            judge().violations().stream().limit(MOST_TOLD).forEach(v -> broken.add(v.toString()));
+        }
+        if (ledger.strays > 0) {
+            broken.add(ledger.strays + " answers that nobody asked for");
+        }
+        return net.call(() -> {
+            ledger.settle();
+            tally.count(troubles.stream().mapToDouble(Trouble::at).min().orElse(-1),
+                troubles.stream().mapToDouble(Trouble::endsAt).max().orElse(-1));
+            Map<String, Double> figures = Emulation.figures(tally, meter, plan.workMs);
+            meter.series(tally.series);
+            return new Outcome(seed, figures, tally.series, broken, tally.asked, 0, (System.nanoTime() - began) / MS);
+        });
+    }
+
+    private void ready() throws IOException, InterruptedException {
+        boolean all = net.await(() -> failed != null || seats.stream().allMatch(s -> s.fronted), READY_MS);
+        if (failed != null) {
+            throw failed;
+        }
+        for (Seat s : seats) {
+            if (!all && !net.call(() -> s.fronted)) {
+                Path log = program.folder().resolve(s.name() + ".log");
+                List<String> said = Files.exists(log) ? Files.readAllLines(log) : List.of();
+                throw new IOException(s.name() + " did not get ready within " + READY_MS / 1000 + " s; it said last: "
+                    + (said.isEmpty() ? "nothing" : said.get(said.size() - 1)));
+            }
+        }
+    }
+
+    /** A process's time is counted from its start: one that was started again begins anew. */
+    private void sample() {
+        double sum = 0;
+        double most = 0;
+        int running = 0;
+        for (Seat s : seats) {
+            if (s.up()) {
+                long now = s.process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+                double load = s.cpuMs == 0 ? 0 : Math.max(0, now - s.cpuMs) / 1e3;
+                s.cpuMs = now;
+                sum += load;
+                most = Math.max(most, load);
+                running++;
+            }
+        }
+        meter.sample(sum, most, running);
+        if (net.nowNs() < fromNs + model.lengthMs() * MS) {
+            after(1, this::sample);
+        }
+    }
+
+    private Findings judge() {
+        Rules rules = site.rules(nodes);
+        seats.forEach(s -> rules.proxy(s.name(), NodeEntry.text(s.listen)));
+        // what a closed way holds back arrives so much later than it was sent, which the record does not show
+        rules.transitMs = MACHINE_MS + model.network().crossMs() + 1e3 * troubles.stream().filter(t ->
+            t.kind() == Trouble.Kind.SITE_APART || t.kind() == Trouble.Kind.SITE_UNHEARD)
+            .mapToDouble(Trouble::seconds).max().orElse(0);
+        rules.answerGraceMs = LATE_ANSWER_MS;
+        return Checker.check(net.events(), rules);
+    }
+
+    /** Ends what it has started, and nothing else. */
+    @Override
+    public void close() {
+        net.run(() -> over = true);
+        starter.shutdown();
+        try {
+            starter.awaitTermination(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        for (Seat s : seats) {
+            if (s.process != null) {
+                s.process.destroyForcibly();
+            }
+        }
+        for (Seat s : seats) {
+            if (s.process != null) {
+                s.process.onExit().join();
+            }
+        }
+        relay.close();
+        net.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/emulator/Relay.java
@@ -0,0 +1,205 @@
+package holdproxy.lab.emulator;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * The way between zones on real sockets: each node has a door in every other zone, behind which bytes take their time,
+ * or wait while the way is closed. A kernel takes dials at a door whatever is behind it: what is cut off looks like a
+ * node that is silent, not like one that cannot be dialled.
+ */
+final class Relay implements AutoCloseable {
+    /** Of one direction of a connection; then its reading stops. */
+    private static final int MOST_HELD = 256 << 10;
+    private static final long CLOSE_MS = 2_000;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+        new DefaultThreadFactory("relay", true), NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final long delayNs;
+    private final Map<String, Way> ways = new HashMap<>();
+
+    /** From one zone to another. */
+    private static final class Way {
+        private boolean closed;
+        private final java.util.Set<Pipe> held = new java.util.LinkedHashSet<>();
+    }
+
+    Relay(double delayMs) {
+        delayNs = (long) (delayMs * 1e6);
+    }
+
+    /** A door in this zone to a node in that one, wherever it listens at the time. */
+    InetSocketAddress door(String zone, String nodeZone, Supplier<InetSocketAddress> node) {
+        Channel ch = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel near) {
+                    dial(near, node.get(), zone, nodeZone);
+                }
+            }).bind(NodeEntry.address("127.0.5.1:0")).syncUninterruptibly().channel();
+        return (InetSocketAddress) ch.localAddress();
+    }
+
+    private void dial(Channel near, InetSocketAddress to, String zone, String nodeZone) {
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true).option(ChannelOption.AUTO_READ, false)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel far) {
+                    near.pipeline().addLast(new Pipe(far, way(zone, nodeZone)));
+                    far.pipeline().addLast(new Pipe(near, way(nodeZone, zone)));
+                }
+            }).connect(to).addListener((ChannelFutureListener) f -> {
+                if (f.isSuccess()) {
+                    near.read();
+                    f.channel().read();
+                } else {
+                    reset(near);
+                }
+            });
+    }
+
+    private static void reset(Channel ch) {
+        ch.config().setOption(ChannelOption.SO_LINGER, 0);
+        ch.close();
+    }
+
+    private Way way(String from, String to) {
+        return ways.computeIfAbsent(from + " " + to, x -> new Way());
+    }
+
+    /** From any thread: from now on nothing gets from the one zone to the other, or what was held comes. */
+    void closed(String from, String to, boolean now) {
+        loop.execute(() -> {
+            Way w = way(from, to);
+            w.closed = now;
+            if (!now) {
+                Pipe[] held = w.held.toArray(new Pipe[0]);
+                w.held.clear();
+                for (Pipe p : held) {
+                    p.pump();
+                }
+            }
+        });
+    }
+
+    /** One direction of a connection: what is read here is written there, later. */
+    private final class Pipe extends ChannelInboundHandlerAdapter {
+        private static final Object END = new Object();
+        private final Channel to;
+        private final Way way;
+        /** Bytes and their times in turn; an end has END in the place of bytes. */
+        private final ArrayDeque<Object> queue = new ArrayDeque<>();
+        private final ArrayDeque<Long> due = new ArrayDeque<>();
+        private ChannelHandlerContext ctx;
+        private int held;
+        private boolean paused;
+        private boolean ended;
+
+        Pipe(Channel to, Way way) {
+            this.to = to;
+            this.way = way;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            ctx = context;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            held += ((ByteBuf) message).readableBytes();
+            take(message);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            paused = held >= MOST_HELD;
+            if (!paused) {
+                ctx.read();
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event == io.netty.channel.socket.ChannelInputShutdownEvent.INSTANCE) {
+                ended = true;
+                take(END);
+            }
+        }
+
+        private void take(Object what) {
+            queue.add(what);
+            due.add(System.nanoTime() + delayNs);
+            loop.schedule(this::pump, delayNs, TimeUnit.NANOSECONDS);
+        }
+
+        private void pump() {
+            while (!queue.isEmpty() && due.peek() <= System.nanoTime()) {
+                if (way.closed) {
+                    way.held.add(this);
+                    return;
+                }
+                due.poll();
+                Object first = queue.poll();
+                if (first == END) {
+                    ((io.netty.channel.socket.DuplexChannel) to).shutdownOutput();
+                } else {
+                    held -= ((ByteBuf) first).readableBytes();
+                    to.writeAndFlush(first);
+                }
+            }
+            if (paused && held < MOST_HELD) {
+                paused = false;
+                ctx.read();
+            }
+        }
+
+        /** The end of a connection goes behind what was sent; a reset does not wait, nor does it while the way is closed. */
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (ended) {
+                return; // closed on both sides: the rest of what it sent is still on its way
+            }
+            way.held.remove(this);
+            queue.forEach(io.netty.util.ReferenceCountUtil::release);
+            queue.clear();
+            due.clear();
+            if (to.isActive()) {
+                reset(to);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            reset(ctx.channel());
+        }
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, CLOSE_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_MS);
+    }
+}
--- a/lab/src/main/java/holdproxy/lab/emulator/ScriptedDiscovery.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/ScriptedDiscovery.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BiFunction;
 
 /**
  * Discovery of the platform. Each proxy has an address of its own here, by which its calls are known, and
@@ -85,6 +86,8 @@
     double linesPerS;
     /** What a call costs on top of its lines. */
     int callLines = 50;
+    /** How a proxy is to see an entry: where zones are apart, each has its own way to a node. */
+    BiFunction<String, NodeEntry, NodeEntry> seenBy = (proxy, e) -> e;
     /** A call that would wait longer ends with 503. */
     double timeoutMs = 2000;
     int calls;
@@ -532,7 +535,7 @@
                     + shown(told));
             }
             version = to;
-            return Site.list(to, changes == null, told);
+            return Site.list(to, changes == null, told.stream().map(e -> seenBy.apply(seat.proxy, e)).toList());
         }
 
         /** A line of the watch. */
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/Builds.java
@@ -0,0 +1,297 @@
+package holdproxy.lab.experiment;
+
+import holdproxy.lab.emulator.Emulation;
+import holdproxy.lab.emulator.Outcome;
+import holdproxy.lab.emulator.Reality;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.StringWriter;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Method;
+import java.net.MalformedURLException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipInputStream;
+import javax.tools.Diagnostic;
+import javax.tools.DiagnosticCollector;
+import javax.tools.JavaCompiler;
+import javax.tools.JavaFileObject;
+import javax.tools.StandardJavaFileManager;
+import javax.tools.ToolProvider;
+
+/**
+ * The proxies that variants are played on: this build's, and those of commits of this repository, whose proxy is
+ * compiled against this lab's libraries and loaded apart. The lab is always this one, so that nothing but the proxy
+ * differs.
+ */
+public final class Builds implements AutoCloseable {
+    /** Packages of the proxy, whichever module they stood in. */
+    private static final List<String> PARTS = List.of("holdproxy/net/", "holdproxy/sim/", "holdproxy/control/");
+    /** The entry point: before there were modules it led to the agent too, and such a commit has no process here. */
+    private static final String ENTRY = "proxy/src/main/java/holdproxy/app/";
+    private static final List<String> ROOTS = List.of("proxy/src/main/java/", "src/main/java/");
+    private static final int MOST_ERRORS = 5;
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        "-XX:CompileThresholdScaling=0.3", "-Xms40m", "-Xmx80m", "-Xmn24m", "-Xss512k", "-XX:MaxDirectMemorySize=16m",
+        "-XX:-UsePerfData", "-Dio.netty.allocator.type=unpooled", "-Dio.netty.noPreferDirect=true",
+        "-Dio.netty.eventLoopThreads=1");
+
+    private final Path folder;
+    private final Path repository;
+    private final Engine engine;
+    private final Path proxyJar;
+    private final Map<String, Player> players = new HashMap<>();
+    private final List<URLClassLoader> loaders = new ArrayList<>();
+
+    /**
+     * {@code folder}: for what is compiled, and for configurations and logs of processes. {@code proxyJar}: of this
+     * build, for processes alone.
+     */
+    public Builds(Path folder, Path repository, Engine engine, Path proxyJar) {
+        this.folder = folder;
+        this.repository = repository;
+        this.engine = engine;
+        this.proxyJar = proxyJar;
+    }
+
+    /** All that an experiment needs, or why one cannot be had: nothing is played before all are there. */
+    Map<String, Player> of(Experiment x) throws IOException {
+        Map<String, Player> all = new HashMap<>();
+        for (Experiment.Variant v : x.variants()) {
+            try {
+                Player p = players.get(v.build());
+                if (p == null) {
+                    p = v.build().isEmpty() ? own() : guest(v.build());
+                    players.put(v.build(), p);
+                }
+                all.put(v.name(), p);
+            } catch (IOException e) {
+                throw new IOException("variant " + v.name() + ": " + e.getMessage(), e);
+            }
+        }
+        return all;
+    }
+
+    private Player own() throws IOException {
+        if (engine == Engine.PROCESSES) {
+            if (!Files.exists(proxyJar)) {
+                throw new IOException("there is no " + proxyJar + ": build the proxy first");
+            }
+            return processes(digest(proxyJar), List.of("-jar", proxyJar.toString()));
+        }
+        return player(Build.id(), (v, seed) -> Emulation.play(v.site(), v.troubles(), seed));
+    }
+
+    private Player guest(String revision) throws IOException {
+        Path classes = compiled(commit(revision));
+        if (engine == Engine.PROCESSES) {
+            return processes(digest(classes), List.of("-cp", classes + File.pathSeparator + classPath(),
+                "holdproxy.app.Main"));
+        }
+        List<URL> urls = new ArrayList<>();
+        urls.add(url(classes));
+        for (String entry : classPath().split(File.pathSeparator)) {
+            urls.add(url(Path.of(entry)));
+        }
+        URLClassLoader loader = new URLClassLoader(urls.toArray(new URL[0]), ClassLoader.getPlatformClassLoader());
+        loaders.add(loader);
+        try {
+            Class<?> guest = loader.loadClass(Guest.class.getName());
+            Method play = guest.getMethod("play", String.class, long.class);
+            String build = (String) guest.getMethod("build").invoke(null);
+            return player(build, (v, seed) -> {
+                String text = ExperimentFile.mapper().writeValueAsString(v);
+                return ExperimentFile.mapper().readValue((String) invoke(play, revision, text, seed), Outcome.class);
+            });
+        } catch (ReflectiveOperationException e) {
+            throw new IOException(revision + " does not fit this lab: " + e, e);
+        }
+    }
+
+    private static Object invoke(Method m, String revision, Object... arguments) throws IOException {
+        try {
+            return m.invoke(null, arguments);
+        } catch (IllegalAccessException e) {
+            throw new IllegalStateException(e);
+        } catch (InvocationTargetException e) {
+            if (e.getCause() instanceof LinkageError) {
+                throw new IOException(revision + " does not fit this lab: " + e.getCause(), e.getCause());
+            }
+            if (e.getCause() instanceof IOException io) {
+                throw io;
+            }
+            throw new IllegalStateException(e.getCause());
+        }
+    }
+
+    private interface Plays {
+        Outcome play(Experiment.Variant v, long seed) throws IOException, InterruptedException;
+    }
+
+    private static Player player(String build, Plays plays) {
+        return new Player() {
+            @Override
+            public String build() {
+                return build;
+            }
+
+            @Override
+            public Outcome play(Experiment.Variant v, long seed) throws IOException, InterruptedException {
+                return plays.play(v, seed);
+            }
+        };
+    }
+
+    private Player processes(String digest, List<String> program) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        command.addAll(program);
+        command.add("serve");
+        return player("processes " + digest, (v, seed) -> Reality.play(v.site(), v.troubles(), seed,
+            new Reality.Program(command, folder.resolve("logs").resolve(v.name() + "-" + seed).toAbsolutePath())));
+    }
+
+    private static String classPath() {
+        return System.getProperty("java.class.path");
+    }
+
+    private static URL url(Path p) throws IOException {
+        try {
+            return p.toUri().toURL();
+        } catch (MalformedURLException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private static String digest(Path from) throws IOException {
+        java.security.MessageDigest sha = Build.sha();
+        try (Stream<Path> all = Files.walk(from)) {
+            for (Path p : all.filter(Files::isRegularFile).sorted().toList()) {
+                sha.update(Files.readAllBytes(p));
+            }
+        }
+        return HexFormat.of().formatHex(sha.digest(), 0, 8);
+    }
+
+    // ---- a commit's proxy ----
+
+    private String commit(String revision) throws IOException {
+        return new String(git("rev-parse", "--verify", "--end-of-options", revision + "^{commit}"),
+            StandardCharsets.US_ASCII).strip();
+    }
+
+    private byte[] git(String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of("git", "-C", repository.toString()));
+        command.addAll(List.of(arguments));
+        Path errors = Files.createTempFile("hatchlab", ".err");
+        try {
+            Process p = new ProcessBuilder(command).redirectError(errors.toFile()).start();
+            byte[] out = p.getInputStream().readAllBytes();
+            if (p.waitFor() != 0) {
+                throw new IOException("git " + arguments[0] + ": "
+                    + Files.readString(errors).strip().lines().findFirst().orElse("failed"));
+            }
+            return out;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new java.io.InterruptedIOException();
+        } finally {
+            Files.delete(errors);
+        }
+    }
+
+    /** Its classes, compiled once: the folder has its name only when it is whole. */
+    private Path compiled(String commit) throws IOException {
+        Path done = folder.resolve("builds").resolve(commit).toAbsolutePath();
+        if (Files.exists(done)) {
+            return done;
+        }
+        JavaCompiler javac = ToolProvider.getSystemJavaCompiler();
+        if (javac == null) {
+            throw new IOException("a build needs a JDK, and this is a Java runtime without its compiler");
+        }
+        Files.createDirectories(done.getParent());
+        Path work = Files.createTempDirectory(done.getParent(), "work");
+        try {
+            Path sources = work.resolve("src");
+            List<Path> files = sources(commit, sources);
+            if (files.isEmpty()) {
+                throw new IOException(commit + " has no proxy");
+            }
+            Path classes = Files.createDirectories(work.resolve("classes"));
+            DiagnosticCollector<JavaFileObject> said = new DiagnosticCollector<>();
+            try (StandardJavaFileManager manager = javac.getStandardFileManager(said, null, StandardCharsets.UTF_8)) {
+                boolean good = javac.getTask(new StringWriter(), manager, said, List.of("-d", classes.toString(),
+                    "-proc:none", "-nowarn", "-implicit:none", "-cp", classPath()), null,
+                    manager.getJavaFileObjectsFromPaths(files)).call();
+                if (!good) {
+                    throw new IOException(commit + " does not compile: " + String.join("; ", said.getDiagnostics().stream()
+                        .filter(d -> d.getKind() == Diagnostic.Kind.ERROR).limit(MOST_ERRORS).map(Builds::shown).toList()));
+                }
+            }
+            Files.move(classes, done, StandardCopyOption.ATOMIC_MOVE);
+            return done;
+        } finally {
+            try (Stream<Path> all = Files.walk(work)) {
+                for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(p);
+                }
+            }
+        }
+    }
+
+    private static String shown(Diagnostic<? extends JavaFileObject> d) {
+        String file = d.getSource() == null ? "" : Path.of(d.getSource().toUri()).getFileName() + ":" + d.getLineNumber() + ": ";
+        return file + d.getMessage(java.util.Locale.ROOT).lines().findFirst().orElse("");
+    }
+
+    private List<Path> sources(String commit, Path into) throws IOException {
+        List<Path> files = new ArrayList<>();
+        try (ZipInputStream zip = new ZipInputStream(archive(commit))) {
+            for (ZipEntry e = zip.getNextEntry(); e != null; e = zip.getNextEntry()) {
+                String name = e.getName();
+                String root = ROOTS.stream().filter(name::startsWith).findFirst().orElse(null);
+                if (root == null || !name.endsWith(".java") || !name.startsWith(ENTRY) && !ofProxy(name.substring(root.length()))) {
+                    continue;
+                }
+                Path file = into.resolve(name.substring(root.length())).normalize();
+                if (!file.startsWith(into)) {
+                    throw new IOException(commit + ": " + name + " leads out of its folder");
+                }
+                Files.createDirectories(file.getParent());
+                Files.copy(zip, file);
+                files.add(file);
+            }
+        }
+        return files;
+    }
+
+    private InputStream archive(String commit) throws IOException {
+        return new java.io.ByteArrayInputStream(git("archive", "--format=zip", commit));
+    }
+
+    private static boolean ofProxy(String name) {
+        return PARTS.stream().anyMatch(name::startsWith) || name.matches("holdproxy/[A-Za-z]+\\.java");
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (URLClassLoader l : loaders) {
+            l.close();
+        }
+    }
+}
--- a/lab/src/main/java/holdproxy/lab/experiment/Experiment.java
+++ b/lab/src/main/java/holdproxy/lab/experiment/Experiment.java
@@ -11,8 +11,8 @@
  * @param variants the first is the one that the others are compared with
  */
 public record Experiment(String name, String question, long firstSeed, int seeds, List<Variant> variants) {
-    /** One of the variants: the whole of what it plays. */
-    public record Variant(String name, SiteModel site, List<Trouble> troubles) {
+    /** One of the variants: the whole of what it plays, and on which commit's proxy; empty for this build's. */
+    public record Variant(String name, SiteModel site, List<Trouble> troubles, String build) {
     }
 
     /** All seeds in order. */
--- a/lab/src/main/java/holdproxy/lab/experiment/ExperimentFile.java
+++ b/lab/src/main/java/holdproxy/lab/experiment/ExperimentFile.java
@@ -195,7 +195,7 @@
         List<String> mistakes = new ArrayList<>();
         Set<String> names = new HashSet<>();
         if (from.isMissingNode()) {
-            all.add(variant("base", whole, "", mistakes));
+            all.add(variant("base", whole, "", "", mistakes));
         } else if (!from.isArray() || from.isEmpty() || from.size() > MOST_VARIANTS) {
             throw new BadExperiment("variants: a list of 1 to " + MOST_VARIANTS + " is wanted");
         }
@@ -203,8 +203,8 @@
             String at = "variants[" + i + "]";
             JsonNode v = from.get(i);
             for (String f : names(v)) {
-                if (!f.equals("name") && !f.equals("set")) {
-                    throw new BadExperiment(at + "." + f + ": no such field; there are name and set");
+                if (!f.equals("name") && !f.equals("set") && !f.equals("build")) {
+                    throw new BadExperiment(at + "." + f + ": no such field; there are name, set and build");
                 }
             }
             String name = v.path("name").asText("");
@@ -214,12 +214,16 @@
             if (!names.add(name)) {
                 throw new BadExperiment(at + ".name: " + name + " is there twice");
             }
+            String build = v.path("build").asText("");
+            if (!build.matches("|[A-Za-z0-9][A-Za-z0-9._/-]{0,99}")) {
+                throw new BadExperiment(at + ".build: a commit, branch or tag of this repository, not '" + build + "'");
+            }
             ObjectNode own = whole.deepCopy();
             for (Iterator<Map.Entry<String, JsonNode>> it = v.path("set").fields(); it.hasNext();) {
                 Map.Entry<String, JsonNode> f = it.next();
                 set(own, f.getKey(), f.getValue(), at + ".set." + f.getKey());
             }
-            all.add(variant(name, own, at + ": ", mistakes));
+            all.add(variant(name, own, build, at + ": ", mistakes));
         }
         if (!mistakes.isEmpty()) {
             throw new BadExperiment(mistakes);
@@ -245,7 +249,8 @@
         }
     }
 
-    private static Experiment.Variant variant(String name, ObjectNode whole, String at, List<String> mistakes)
+    private static Experiment.Variant variant(String name, ObjectNode whole, String build, String at,
+            List<String> mistakes)
             throws BadExperiment {
         SiteModel site = typed(whole.get("site"), SiteModel.class, at + "site");
         List<Trouble> troubles = new ArrayList<>();
@@ -257,7 +262,7 @@
                 mistakes.add(at.isEmpty() ? m : at + m);
             }
         });
-        return new Experiment.Variant(name, site, List.copyOf(troubles));
+        return new Experiment.Variant(name, site, List.copyOf(troubles), build);
     }
 
     private static <T> T typed(JsonNode from, Class<T> as, String at) throws BadExperiment {
@@ -292,6 +297,15 @@
         return best == null ? "" : "; is " + best + " meant?";
     }
 
+    /** A trouble's kind as files have it. */
+    static String word(Trouble.Kind kind) {
+        return kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+
+    static String yaml(JsonNode tree) throws JsonProcessingException {
+        return YAML.writeValueAsString(tree);
+    }
+
     /** The mapper of results too: one form for the file, the store and the report. */
     static ObjectMapper mapper() {
         return TYPED;
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/Guest.java
@@ -0,0 +1,23 @@
+package holdproxy.lab.experiment;
+
+import holdproxy.lab.emulator.Emulation;
+import holdproxy.lab.emulator.Outcome;
+import java.io.IOException;
+
+/** The door by which another build's classes, loaded apart, are asked to play: nothing but texts goes through it. */
+public final class Guest {
+    private Guest() {
+    }
+
+    /** Which program its outcomes are of. */
+    public static String build() {
+        return Build.id();
+    }
+
+    /** An outcome as JSON, of a variant as JSON. */
+    public static String play(String variant, long seed) throws IOException {
+        Experiment.Variant v = ExperimentFile.mapper().readValue(variant, Experiment.Variant.class);
+        Outcome o = Emulation.play(v.site(), v.troubles(), seed);
+        return ExperimentFile.mapper().writeValueAsString(o);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/Player.java
@@ -0,0 +1,13 @@
+package holdproxy.lab.experiment;
+
+import holdproxy.lab.emulator.Outcome;
+import java.io.IOException;
+
+/** Plays one variant with one seed, on one build of the proxy. */
+interface Player {
+    /** Which program it plays, as results are kept by. */
+    String build();
+
+    /** IOException where it cannot be played at all; what goes wrong in a play stands in its outcome. */
+    Outcome play(Experiment.Variant v, long seed) throws IOException, InterruptedException;
+}
--- a/lab/src/main/java/holdproxy/lab/experiment/Runner.java
+++ b/lab/src/main/java/holdproxy/lab/experiment/Runner.java
@@ -1,6 +1,5 @@
 package holdproxy.lab.experiment;
 
-import holdproxy.lab.emulator.Emulation;
 import holdproxy.lab.emulator.Outcome;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -20,11 +19,13 @@
 public final class Runner {
     private static final Logger LOG = LoggerFactory.getLogger(Runner.class);
     private final Store store;
+    private final Builds builds;
     private final int threads;
 
     /** {@code threads}: plays at once; each keeps a whole site in memory. */
-    public Runner(Store store, int threads) {
+    public Runner(Store store, Builds builds, int threads) {
         this.store = store;
+        this.builds = builds;
         this.threads = threads;
     }
 
@@ -33,6 +34,7 @@
      * time. Ends with InterruptedException where the thread was interrupted: what is done is kept.
      */
     public Results run(Experiment x, BiConsumer<Integer, Integer> progress) throws IOException, InterruptedException {
+        Map<String, Player> players = builds.of(x);
         ExecutorService pool = Executors.newFixedThreadPool(threads);
         int all = x.variants().size() * x.seeds();
         int[] done = {0};
@@ -41,7 +43,7 @@
             x.variants().forEach(v -> asked.put(v.name(), new ArrayList<>()));
             for (long seed : x.allSeeds()) { // all variants of a seed together: a run ended halfway has whole pairs
                 for (Experiment.Variant v : x.variants()) {
-                    asked.get(v.name()).add(pool.submit(one(v, seed, () -> {
+                    asked.get(v.name()).add(pool.submit(one(v, players.get(v.name()), seed, () -> {
                         synchronized (done) {
                             progress.accept(++done[0], all);
                         }
@@ -56,7 +58,7 @@
                 }
                 outcomes.put(e.getKey(), some);
             }
-            return new Results(x, outcomes, store.build());
+            return new Results(x, outcomes, Build.id());
         } catch (ExecutionException e) {
             if (e.getCause() instanceof IOException io) {
                 throw io;
@@ -67,12 +69,12 @@
         }
     }
 
-    private Callable<Outcome> one(Experiment.Variant v, long seed, Runnable done) {
+    private Callable<Outcome> one(Experiment.Variant v, Player player, long seed, Runnable done) {
         return () -> {
-            Outcome o = store.find(v, seed).orElse(null);
+            Outcome o = store.find(v, seed, player.build()).orElse(null);
             if (o == null) {
-                o = Emulation.play(v.site(), v.troubles(), seed);
-                store.keep(v, o);
+                o = player.play(v, seed);
+                store.keep(v, o, player.build());
                 LOG.debug("{} seed {}: {} requests, {} events in {} ms", v.name(), seed, o.asked(), o.events(),
                     o.wallMs());
             }
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/experiment/Shrink.java
@@ -0,0 +1,161 @@
+package holdproxy.lab.experiment;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import holdproxy.lab.emulator.SiteCheck;
+import holdproxy.lab.emulator.SiteModel;
+import holdproxy.lab.emulator.Trouble;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The smallest site and the fewest troubles with which a seed still breaks the rule that it broke: delta debugging
+ * (Zeller and Hildebrandt, Simplifying and Isolating Failure-Inducing Input) over troubles, then halves of what has a
+ * size. Every candidate is a whole play.
+ */
+public final class Shrink {
+    /** Plays it, and gives what was broken; empty for nothing. */
+    public interface Play {
+        List<String> broken(SiteModel site, List<Trouble> troubles, long seed);
+    }
+
+    /** What is left, what it breaks, and how many plays that took. */
+    public record Left(Experiment.Variant variant, List<String> broken, int plays) {
+    }
+
+    /** What may be halved, down to these. */
+    private static final List<String> SIZES = List.of("lengthMs", "nodes", "proxies", "clients.keys", "warmMs", "ofCapacity");
+    private static final double LEAST_CAPACITY = 0.02;
+
+    private final Play play;
+    private final int most;
+    private final long seed;
+    private int plays;
+    private String rule;
+    private List<String> broken;
+    private Experiment.Variant kept;
+
+    /** {@code most}: plays at most. */
+    public Shrink(Play play, int most, long seed) {
+        this.play = play;
+        this.most = most;
+        this.seed = seed;
+    }
+
+    /** IllegalArgumentException where the variant breaks nothing with this seed. */
+    public Left of(Experiment.Variant v) {
+        kept = v;
+        plays++;
+        broken = play.broken(v.site(), v.troubles(), seed);
+        if (broken.isEmpty()) {
+            throw new IllegalArgumentException(v.name() + " breaks nothing with seed " + seed);
+        }
+        rule = rule(broken.get(0));
+        boolean smaller = true;
+        while (smaller && plays < most) {
+            smaller = fewer() | shorter() | halves();
+        }
+        return new Left(kept, broken, plays);
+    }
+
+    /** What stands before the sentence: a fault's own text is its rule. */
+    private static String rule(String line) {
+        int colon = line.indexOf(':');
+        return colon < 0 ? line : line.substring(0, colon);
+    }
+
+    private boolean breaks(Experiment.Variant v) {
+        if (plays >= most || !SiteCheck.of(v.site(), v.troubles()).isEmpty()) {
+            return false;
+        }
+        plays++;
+        List<String> now = play.broken(v.site(), v.troubles(), seed);
+        if (now.stream().noneMatch(b -> rule(b).equals(rule))) {
+            return false;
+        }
+        kept = v;
+        broken = now;
+        return true;
+    }
+
+    private boolean fewer() {
+        boolean any = false;
+        for (int size = Math.max(1, kept.troubles().size() / 2); size >= 1; size /= 2) {
+            for (int at = 0; at < kept.troubles().size();) {
+                List<Trouble> some = new ArrayList<>(kept.troubles());
+                some.subList(at, Math.min(at + size, some.size())).clear();
+                if (breaks(with(kept.site(), some))) {
+                    any = true;
+                } else {
+                    at += size;
+                }
+            }
+        }
+        return any;
+    }
+
+    private boolean shorter() {
+        boolean any = false;
+        for (int i = 0; i < kept.troubles().size(); i++) {
+            Trouble t = kept.troubles().get(i);
+            List<Trouble> some = new ArrayList<>(kept.troubles());
+            some.set(i, new Trouble(t.at(), t.kind(), t.seconds() / 2, t.times(), t.share(), t.zone(), t.tenant()));
+            any |= t.seconds() >= 0.5 && breaks(with(kept.site(), some));
+        }
+        return any;
+    }
+
+    private boolean halves() {
+        boolean any = false;
+        for (String field : SIZES) {
+            ObjectNode site = ExperimentFile.mapper().valueToTree(kept.site());
+            int dot = field.indexOf('.');
+            ObjectNode in = dot < 0 ? site : (ObjectNode) site.get(field.substring(0, dot));
+            String name = field.substring(dot + 1);
+            JsonNode now = in.get(name);
+            if (now.isInt()) {
+                in.put(name, Math.max(field.equals("nodes") || field.equals("proxies") ? kept.site().zones().size() : 1,
+                    now.asInt() / 2));
+            } else {
+                in.put(name, Math.max(LEAST_CAPACITY, now.asDouble() / 2));
+            }
+            any |= !in.get(name).equals(now) && breaks(with(read(site), kept.troubles()));
+        }
+        return any;
+    }
+
+    private static SiteModel read(ObjectNode site) {
+        try {
+            return ExperimentFile.mapper().treeToValue(site, SiteModel.class);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Experiment.Variant with(SiteModel site, List<Trouble> troubles) {
+        return new Experiment.Variant(kept.name(), site, List.copyOf(troubles), kept.build());
+    }
+
+    /** A file that plays what is left: all of the site is written out, so that later defaults change nothing. */
+    public static String file(String name, Left left, long seed) throws JsonProcessingException {
+        ObjectNode top = ExperimentFile.mapper().createObjectNode();
+        Set<String> rules = new LinkedHashSet<>();
+        left.broken().forEach(b -> rules.add(rule(b)));
+        top.put("version", ExperimentFile.VERSION).put("name", name).put("question", "Why does this break "
+            + String.join(", ", rules) + "?");
+        top.putObject("seeds").put("first", seed).put("count", 1);
+        top.set("site", ExperimentFile.mapper().valueToTree(left.variant().site()));
+        ArrayNode troubles = top.putArray("troubles");
+        for (Trouble t : left.variant().troubles()) {
+            ObjectNode one = ExperimentFile.mapper().valueToTree(t);
+            one.put("kind", ExperimentFile.word(t.kind()));
+            troubles.add(one);
+        }
+        top.putArray("variants").addObject().put("name", left.variant().name()).put("build", left.variant().build());
+        return ExperimentFile.yaml(top);
+    }
+}
--- a/lab/src/main/java/holdproxy/lab/experiment/Store.java
+++ b/lab/src/main/java/holdproxy/lab/experiment/Store.java
@@ -26,11 +26,9 @@
     /** Of the tables and of what an outcome holds. */
     private static final int VERSION = 1;
     private final Connection db;
-    private final String build;
 
     /** Opens it, or makes it in a folder that may not be there yet. */
     public Store(Path file) throws IOException {
-        build = Build.id();
         Path folder = file.toAbsolutePath().getParent();
         Files.createDirectories(folder);
         Connection opened = null;
@@ -75,7 +73,7 @@
     }
 
     /** The outcome that is there for this variant, whatever its name, with this seed, of this build. */
-    public synchronized Optional<Outcome> find(Experiment.Variant v, long seed) throws IOException {
+    public synchronized Optional<Outcome> find(Experiment.Variant v, long seed, String build) throws IOException {
         try (PreparedStatement s = db.prepareStatement(
                 "SELECT outcome FROM outcome WHERE variant = ? AND seed = ? AND build = ?")) {
             s.setString(1, digest(v));
@@ -109,7 +107,7 @@
     }
 
     /** Keeps it; it is on the disk when this returns. */
-    public synchronized void keep(Experiment.Variant v, Outcome o) throws IOException {
+    public synchronized void keep(Experiment.Variant v, Outcome o, String build) throws IOException {
         try (PreparedStatement s = db.prepareStatement("INSERT OR REPLACE INTO outcome VALUES (?, ?, ?, ?)")) {
             s.setString(1, digest(v));
             s.setLong(2, o.seed());
@@ -121,11 +119,6 @@
         }
     }
 
-    /** Which program its outcomes are of. */
-    public String build() {
-        return build;
-    }
-
     private static String digest(Experiment.Variant v) throws JsonProcessingException {
         String text = ExperimentFile.mapper().writeValueAsString(new Object[] {v.site(), v.troubles()});
         return HexFormat.of().formatHex(Build.sha().digest(text.getBytes(StandardCharsets.UTF_8)));
--- a/lab/src/main/java/holdproxy/lab/report/Report.java
+++ b/lab/src/main/java/holdproxy/lab/report/Report.java
@@ -74,10 +74,11 @@
     }
 
     private static void variants(StringBuilder s, Experiment x) {
-        s.append("<table><tr><th>variant</th><th>proxies</th><th>nodes</th><th>load</th><th>troubles</th></tr>\n");
+        s.append("<table><tr><th>variant</th><th>build</th><th>proxies</th><th>nodes</th><th>load</th><th>troubles</th></tr>\n");
         for (Experiment.Variant v : x.variants()) {
             SiteModel m = v.site();
-            s.append("<tr><td>").append(escaped(v.name())).append("</td><td>").append(m.proxies()).append("</td><td>")
+            s.append("<tr><td>").append(escaped(v.name())).append("</td><td>").append(v.build().isEmpty() ? "this one" : escaped(v.build()))
+                .append("</td><td>").append(m.proxies()).append("</td><td>")
                 .append(m.nodes()).append("</td><td>").append(number(m.ofCapacity())).append("</td><td>")
                 .append(escaped(String.join(", ", v.troubles().stream().map(Report::named).toList())))
                 .append("</td></tr>\n");
