--- a/lab/src/main/java/holdproxy/lab/check/AnswerJudge.java
+++ b/lab/src/main/java/holdproxy/lab/check/AnswerJudge.java
@@ -190,6 +190,9 @@
 
     /** Served: by a node, for this very request. */
     private void made(Request r) {
+        if (rules.clientsOnly) {
+            return;
+        }
         Told t = r.answer;
         int own = Trace.NEVER;
         for (Made m : made(t.id)) {
--- a/lab/src/main/java/holdproxy/lab/check/Rules.java
+++ b/lab/src/main/java/holdproxy/lab/check/Rules.java
@@ -38,6 +38,8 @@
     public double toldLateMs = 6000;
     public boolean secondCopies;
     public boolean retryAfter = true;
+    /** The record has the clients' ends alone: what nodes made, and whether an answer was theirs, is not known. */
+    public boolean clientsOnly;
     /** Requests that a node may get over its budget by chance. */
     public double coldChance = 2;
     /** A byte's way counts as so long at most; what is longer is the net's doing, not the proxy's. */
--- a/lab/src/main/java/holdproxy/lab/cli/LoadCommand.java
+++ b/lab/src/main/java/holdproxy/lab/cli/LoadCommand.java
@@ -49,8 +49,13 @@
     private int keys = 10_000;
     @Option(names = "--zipf", paramLabel = "X", description = "exponent of their popularity (${DEFAULT-VALUE})")
     private double zipf = 0.9;
-    @Option(names = "--value-bytes", paramLabel = "N", description = "of a write (${DEFAULT-VALUE})")
-    private int valueBytes = 40;
+    @Option(names = "--value-bytes", paramLabel = "N|N-M", description = "of a write (${DEFAULT-VALUE})")
+    private String valueBytes = "40";
+    @Option(names = "--ramp-from", paramLabel = "N", description = "the rate grows evenly from this one to --rate")
+    private Double rampFrom;
+    @Option(names = "--judge", description = "keep all bytes, and have the checker judge whether each request had one whole"
+        + " answer in time")
+    private boolean judge;
     @Option(names = "--wait-ms", paramLabel = "N", description = "an answer is waited for (${DEFAULT-VALUE})")
     private int waitMs = 1_500;
     @Option(names = "--seed", paramLabel = "N", description = "of arrivals and keys (${DEFAULT-VALUE})")
@@ -70,6 +75,12 @@
         if (steps < 1 || steps > 100) {
             throw new ParameterException(spec.commandLine(), "--steps: from 1 to 100, not " + steps);
         }
+        if (steps > 1 && rampFrom != null) {
+            throw new ParameterException(spec.commandLine(), "--ramp-from: not together with --steps");
+        }
+        if (!valueBytes.matches("[0-9]{1,6}(-[0-9]{1,6})?")) {
+            throw new ParameterException(spec.commandLine(), "--value-bytes: N or N-M, not " + valueBytes);
+        }
         if (!to.isEmpty()) {
             return steps(to.stream().map(this::address).toList());
         }
@@ -100,9 +111,11 @@
         if (all.isEmpty()) {
             all.add(new LoadPlan.Part("kannur-district", 1, false));
         }
+        String[] sizes = valueBytes.split("-");
         try {
             return new LoadPlan(targets, rate, seconds, warm, connections, pipeline, loops, classes, all, keys, zipf,
-                valueBytes, waitMs, seed);
+                Integer.parseInt(sizes[0]), Integer.parseInt(sizes[sizes.length - 1]), waitMs, seed,
+                rampFrom == null ? rate : rampFrom, judge);
         } catch (IllegalArgumentException e) {
             throw new ParameterException(spec.commandLine(), e.getMessage());
         }
@@ -119,7 +132,7 @@
         Runtime.getRuntime().addShutdownHook(interrupt);
         try {
             for (int i = 0; i < steps && !interrupt.came; i++) {
-                LoadPlan p = first.at(rate * Math.pow(1.25, i));
+                LoadPlan p = i == 0 ? first : first.at(rate * Math.pow(1.25, i));
                 Load load = new Load(p);
                 interrupt.load = load;
                 LoadResult r = load.run(line -> {
@@ -128,6 +141,9 @@
                 });
                 err.print("\r");
                 row(out, p, r);
+                if (broken(out, r)) {
+                    return Main.BROKEN;
+                }
                 if (!r.voidFor().isEmpty()) {
                     out.println("void: " + r.voidFor());
                     out.flush();
@@ -148,6 +164,18 @@
         }
     }
 
+    private static boolean broken(PrintWriter out, LoadResult r) {
+        if (r.strays() > 0) {
+            out.println("broken: " + r.strays() + " answers that nobody asked for");
+        }
+        if (r.findings() != null) {
+            out.println("judged: " + r.findings().counts());
+            r.findings().violations().stream().limit(10).forEach(v -> out.println("broken: " + v));
+        }
+        out.flush();
+        return r.strays() > 0 || r.findings() != null && !r.findings().violations().isEmpty();
+    }
+
     private static void row(PrintWriter out, LoadPlan p, LoadResult r) {
         out.printf("%10.0f %10.0f %8.4f %8d %8d %8d %9.2f %9.2f %9.2f %9.2f%n", p.perS(), r.servedPerS(), r.served(),
             r.count(LoadResult.End.REFUSED), r.count(LoadResult.End.FAILED) + r.count(LoadResult.End.WRONG),
--- a/lab/src/main/java/holdproxy/lab/emulator/NodeModel.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/NodeModel.java
@@ -13,6 +13,8 @@
 
     final Map<String, Work> work = new LinkedHashMap<>();
     int cores = 1;
+    /** Work is drawn as queueing theory likes it best, whatever a class's cv. */
+    boolean exponential;
     double speed = 1;
     /** Requests in work, those that wait for the origin among them. */
     int slots = 8;
--- a/lab/src/main/java/holdproxy/lab/emulator/Reality.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/Reality.java
@@ -465,16 +465,21 @@
     }
 
     private void ready() throws IOException, InterruptedException {
-        boolean all = net.await(() -> failed != null || seats.stream().allMatch(s -> s.fronted), READY_MS);
+        boolean all = net.await(() -> failed != null || seats.stream().allMatch(s -> s.fronted)
+            || seats.stream().anyMatch(s -> s.process != null && !s.process.isAlive()), READY_MS)
+            && net.call(() -> seats.stream().allMatch(s -> s.fronted));
         if (failed != null) {
             throw failed;
         }
-        for (Seat s : seats) {
+        List<Seat> worst = new ArrayList<>(seats);
+        worst.sort(java.util.Comparator.comparing(Seat::up)); // one that has ended says more than one that is not there yet
+        for (Seat s : worst) {
             if (!all && !net.call(() -> s.fronted)) {
                 Path log = program.folder().resolve(s.name() + ".log");
                 List<String> said = Files.exists(log) ? Files.readAllLines(log) : List.of();
-                throw new IOException(s.name() + " did not get ready within " + READY_MS / 1000 + " s; it said last: "
-                    + (said.isEmpty() ? "nothing" : said.get(said.size() - 1)));
+                throw new IOException(s.name() + " did not get ready" + (s.up() ? " within " + READY_MS / 1000 + " s" : " and has ended")
+                    + "; it said: "
+                    + (said.isEmpty() ? "nothing" : String.join(" / ", said.subList(0, Math.min(3, said.size())))));
             }
         }
     }
--- a/lab/src/main/java/holdproxy/lab/emulator/ScriptedNode.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/ScriptedNode.java
@@ -467,6 +467,9 @@
             return model.probeMs;
         }
         NodeModel.Work w = model.work.get(job.command.kind());
+        if (w != null && model.exponential) {
+            return -StrictMath.log(1 - random.nextDouble()) * w.ms();
+        }
         return w == null ? 1 : Draw.around(random, w.ms(), w.cv());
     }
 
--- a/lab/src/main/java/holdproxy/lab/load/Load.java
+++ b/lab/src/main/java/holdproxy/lab/load/Load.java
@@ -1,10 +1,14 @@
 package holdproxy.lab.load;
 
+import holdproxy.lab.check.Checker;
+import holdproxy.lab.check.Event;
+import holdproxy.lab.check.Rules;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
@@ -19,6 +23,8 @@
 public final class Load {
     private static final long CONNECT_MS = 5_000;
     private static final long LOOK_MS = 20;
+    /** What a busy machine may add to a byte's way. */
+    private static final double MACHINE_MS = 250;
     private final LoadPlan plan;
     private final AtomicBoolean stop = new AtomicBoolean();
 
@@ -67,13 +73,34 @@
                 seconds = Math.max(seconds, ask(on.get(i), l::counted));
                 all.add(ask(on.get(i), () -> l.result));
             }
-            all.over(seconds, plan.perS(), early);
+            all.over(seconds, plan.meanPerS(), early);
+            if (plan.judged()) {
+                List<Event> events = new ArrayList<>();
+                for (int i = 0; i < loops.size(); i++) {
+                    events.addAll(ask(on.get(i), loops.get(i)::events));
+                }
+                events.sort(Comparator.comparingLong(Event::atNs)); // stable: each loop's own order stays
+                all.judged(Checker.check(events, rules()));
+            }
             return all;
         } finally {
             group.shutdownGracefully(0, 2, TimeUnit.SECONDS).await(5, TimeUnit.SECONDS);
         }
     }
 
+    /** The bytes at this end alone tell of answers: whole, in their order, in time, none taken back. */
+    private Rules rules() {
+        Rules rules = new Rules();
+        rules.clientsOnly = true;
+        rules.transitMs = MACHINE_MS;
+        for (LoadPlan.Part p : plan.classes()) {
+            rules.with(new Rules.RequestClass(p.name(), p.write() ? Rules.Effect.KEYED : Rules.Effect.SAFE,
+                Rules.Group.ALL, plan.waitMs(), plan.waitMs()));
+        }
+        plan.targets().forEach(t -> rules.proxy("proxy at " + t.getPort(), t.getAddress().getHostAddress() + ":" + t.getPort()));
+        return rules;
+    }
+
     /** Until all that was due has ended, or may have. Whether it was stopped early. */
     private boolean watch(List<LoadLoop> loops, List<EventLoop> on, Consumer<String> told)
             throws InterruptedException, IOException {
--- a/lab/src/main/java/holdproxy/lab/load/LoadLine.java
+++ b/lab/src/main/java/holdproxy/lab/load/LoadLine.java
@@ -1,10 +1,13 @@
 package holdproxy.lab.load;
 
+import holdproxy.lab.check.Event;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.util.ByteProcessor;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -21,6 +24,7 @@
     final int number;
     private final ArrayDeque<Sent> out = new ArrayDeque<>();
     private Channel channel;
+    private long link;
     boolean touched;
     /** Of the value that is still to come, with its line's end; -1 for none. */
     private int value = -1;
@@ -39,9 +43,22 @@
             return;
         }
         channel = ctx.channel();
+        if (loop.judged()) {
+            link = loop.link();
+            InetSocketAddress to = (InetSocketAddress) channel.remoteAddress();
+            loop.note(Event.Kind.DIAL, link, null, to.getAddress().getHostAddress() + ":" + to.getPort());
+        }
         loop.up(this);
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        if (loop.judged() && message instanceof ByteBuf b) {
+            loop.note(Event.Kind.ARRIVED, link, ByteBufUtil.getBytes(b), null);
+        }
+        super.channelRead(ctx, message);
+    }
+
     int open() {
         return out.size();
     }
@@ -52,6 +69,9 @@
 
     void send(ByteBuf command, Sent sent) {
         out.add(sent);
+        if (loop.judged()) {
+            loop.note(Event.Kind.SENT, link, ByteBufUtil.getBytes(command), null);
+        }
         channel.write(command, channel.voidPromise());
     }
 
@@ -68,12 +88,16 @@
     /** Its oldest request has waited for so long: the connection ends. */
     void expire(long beforeNs) {
         if (!out.isEmpty() && out.peek().dueNs < beforeNs && channel != null) {
-            channel.close();
+            close();
         }
     }
 
     void close() {
         if (channel != null) {
+            if (loop.judged()) {
+                out.forEach(s -> loop.note(Event.Kind.FACT, 0, null, "gone " + Long.toHexString(s.id)));
+                loop.note(Event.Kind.END_SENT, link, null, null);
+            }
             channel.close();
         }
     }
@@ -149,6 +173,9 @@
             return; // never up: whoever dialled hears of it, and dials again once
         }
         channel = null;
+        if (loop.judged()) {
+            loop.note(Event.Kind.END_ARRIVED, link, null, null);
+        }
         loop.down(this, out);
         out.clear();
     }
--- a/lab/src/main/java/holdproxy/lab/load/LoadLoop.java
+++ b/lab/src/main/java/holdproxy/lab/load/LoadLoop.java
@@ -1,5 +1,6 @@
 package holdproxy.lab.load;
 
+import holdproxy.lab.check.Event;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -29,7 +30,6 @@
     private final LoadPlan plan;
     private final EventLoop loop;
     private final int index;
-    private final double perNs;
     private final UniformRandomProvider random;
     private final DiscreteSampler ranks;
     private final byte[] value;
@@ -48,8 +48,9 @@
     private int open;
     private boolean sending;
     private boolean over;
-    /** Answers that nobody had asked for. */
-    long strays;
+    /** For the checker, if it is to judge. */
+    private final List<Event> events = new ArrayList<>();
+    private long links;
     /** Connections that came up, and that ended by themselves. */
     int dialled;
     int ended;
@@ -58,11 +59,10 @@
         this.plan = plan;
         this.loop = loop;
         this.index = index;
-        perNs = plan.perS() / plan.loops() / 1e9;
         random = RandomSource.XO_SHI_RO_256_PP.create(plan.seed() * 1_000_003 + index);
         ranks = plan.zipf() == 0 ? () -> random.nextInt(plan.keys()) + 1
             : RejectionInversionZipfSampler.of(random, plan.keys(), plan.zipf());
-        value = "v".repeat(plan.valueBytes()).getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+        value = "v".repeat(plan.valueMost()).getBytes(java.nio.charset.StandardCharsets.US_ASCII);
     }
 
     /** On the loop: dials its connections. */
@@ -115,12 +115,14 @@
         startNs = System.nanoTime();
         countNs = startNs + (long) (plan.warmSeconds() * 1e9);
         endNs = startNs + (long) (plan.seconds() * 1e9);
-        nextNs = startNs + gap();
+        nextNs = startNs;
+        nextNs += gap();
         sending = true;
         run();
     }
 
     private double gap() {
+        double perNs = plan.rate((nextNs - startNs) / 1e9) / plan.loops() / 1e9;
         return -Math.log(1 - random.nextDouble()) / perNs;
     }
 
@@ -188,12 +190,13 @@
         LoadPlan.Part kind = drawn(plan.classes());
         ByteBufUtil.writeAscii(to, kind.write() ? "ms " : "mg ");
         ByteBufUtil.writeAscii(to, Integer.toHexString(ranks.sample()));
-        ByteBufUtil.writeAscii(to, kind.write() ? " " + plan.valueBytes() + " O" : " v O");
+        int bytes = plan.valueBytes() + (kind.write() ? random.nextInt(plan.valueMost() - plan.valueBytes() + 1) : 0);
+        ByteBufUtil.writeAscii(to, kind.write() ? " " + bytes + " O" : " v O");
         ByteBufUtil.writeAscii(to, Long.toHexString(id));
         ByteBufUtil.writeAscii(to, " Pc=" + kind.name() + ",t=" + drawn(plan.tenants()).name() + ",d=" + plan.waitMs()
             + (kind.write() ? ",k=" + Long.toHexString(random.nextLong()) : "") + "\r\n");
         if (kind.write()) {
-            to.writeBytes(value);
+            to.writeBytes(value, 0, bytes);
             ByteBufUtil.writeAscii(to, "\r\n");
         }
         return to;
@@ -247,7 +250,24 @@
     }
 
     void stray() {
-        strays++;
+        result.stray();
+    }
+
+    /** A number that no other connection has. */
+    long link() {
+        return ++links * plan.loops() + index;
+    }
+
+    boolean judged() {
+        return plan.judged();
+    }
+
+    void note(Event.Kind kind, long link, byte[] data, String note) {
+        events.add(new Event(System.nanoTime(), kind, link, "load", data, note));
+    }
+
+    List<Event> events() {
+        return events;
     }
 
     void ended(LoadLine.Sent s, LoadResult.End how) {
--- a/lab/src/main/java/holdproxy/lab/load/LoadPlan.java
+++ b/lab/src/main/java/holdproxy/lab/load/LoadPlan.java
@@ -14,12 +14,18 @@
  * @param pipeline requests on one connection before its first is answered
  * @param loops threads that send and receive
  * @param keys distinct ones, asked for by a Zipf law with this exponent
- * @param valueBytes of a write
+ * @param valueBytes of a write, at least
+ * @param valueMost of a write, at most; sizes in between are as likely
  * @param waitMs told as {@code d}; unanswered for so long, a request is lost and its connection is closed
+ * @param rampFrom the rate grows evenly from this one to {@code perS}; the same for a steady one
+ * @param judged whether all bytes are kept for the checker, which bounds the load to {@link #MOST_JUDGED} requests
  */
 public record LoadPlan(List<InetSocketAddress> targets, double perS, double seconds, double warmSeconds, int connections,
         int pipeline, int loops, List<Part> classes, List<Part> tenants, int keys, double zipf, int valueBytes,
-        int waitMs, long seed) {
+        int valueMost, int waitMs, long seed, double rampFrom, boolean judged) {
+    /** Requests whose bytes are kept. */
+    public static final int MOST_JUDGED = 500_000;
+
     /** A class or tenant by its share of the requests; {@code write}: it is sent by {@code ms}, with a {@code k}. */
     public record Part(String name, double share, boolean write) {
     }
@@ -40,6 +46,11 @@
         range("--keys", keys, 1, 100_000_000);
         range("--zipf", zipf, 0.0, 10);
         range("--value-bytes", valueBytes, 1, 65_536);
+        range("--value-bytes", valueMost, valueBytes, 65_536);
+        range("--ramp-from", rampFrom, 1, 1e7);
+        if (judged) {
+            range("--judge: requests, by rate and seconds,", (perS + rampFrom) / 2 * seconds, 0, MOST_JUDGED);
+        }
         range("--wait-ms", waitMs, 1, 600_000);
         parts("--class", classes);
         parts("--tenant", tenants);
@@ -66,9 +77,19 @@
         }
     }
 
-    /** The same at another rate. */
+    /** The same at another rate, steady. */
     public LoadPlan at(double rate) {
         return new LoadPlan(targets, rate, seconds, warmSeconds, connections, pipeline, loops, classes, tenants, keys, zipf,
-            valueBytes, waitMs, seed);
+            valueBytes, valueMost, waitMs, seed, rate, judged);
+    }
+
+    /** Requests a second that are due after so long, in s. */
+    double rate(double at) {
+        return rampFrom + (perS - rampFrom) * Math.min(1, at / seconds);
+    }
+
+    /** In the time that counts. */
+    double meanPerS() {
+        return (rate(warmSeconds) + perS) / 2;
     }
 }
--- a/lab/src/main/java/holdproxy/lab/load/LoadResult.java
+++ b/lab/src/main/java/holdproxy/lab/load/LoadResult.java
@@ -1,5 +1,6 @@
 package holdproxy.lab.load;
 
+import holdproxy.lab.check.Findings;
 import java.util.EnumMap;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
@@ -33,6 +34,8 @@
     private double seconds;
     private double wanted;
     private boolean stopped;
+    private long strays;
+    private Findings findings;
 
     void ended(End how, long fromDueNs) {
         ends.merge(how, 1L, Long::sum);
@@ -45,7 +48,16 @@
         late.recordValue(Math.max(1, Math.min(MOST_US, ns / 1_000)));
     }
 
+    void stray() {
+        strays++;
+    }
+
+    void judged(Findings by) {
+        findings = by;
+    }
+
     void add(LoadResult other) {
+        strays += other.strays;
         other.ends.forEach((how, n) -> ends.merge(how, n, Long::sum));
         latency.add(other.latency);
         late.add(other.late);
@@ -87,6 +99,16 @@
         return late.getTotalCount() == 0 ? 0 : late.getValueAtPercentile(percentile) / 1e3;
     }
 
+    /** Answers that nobody had asked for. */
+    public long strays() {
+        return strays;
+    }
+
+    /** What the checker found in the bytes; null where it was not asked. */
+    public Findings findings() {
+        return findings;
+    }
+
     /** Why the figures mean nothing; empty if they do. */
     public String voidFor() {
         if (due() == 0) {
--- a/lab/src/main/java/holdproxy/lab/load/StandIn.java
+++ b/lab/src/main/java/holdproxy/lab/load/StandIn.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -24,6 +25,8 @@
     private volatile long stillUntil = System.nanoTime();
     /** Answers with another id than was asked, from now on. */
     private volatile boolean confused;
+    private volatile String chatter = "";
+    private volatile boolean cutting;
 
     /** Listens on a free loopback port with so many threads. */
     public StandIn(int threads) throws InterruptedException {
@@ -47,6 +50,16 @@
         stillUntil = System.nanoTime() + ms * 1_000_000;
     }
 
+    /** Says this of its own accord behind each answer. */
+    public void say(String line) {
+        chatter = line;
+    }
+
+    /** Ends each connection in the middle of an answer. */
+    public void cut() {
+        cutting = true;
+    }
+
     /** Its answers have ids of no request. */
     public void confuse() {
         confused = true;
@@ -84,6 +97,10 @@
                 answer(in.readCharSequence(length, StandardCharsets.US_ASCII).toString(), out);
                 in.skipBytes(1);
             }
+            if (cutting && out.isReadable()) {
+                ctx.writeAndFlush(out.slice(0, out.readableBytes() / 2)).addListener(ChannelFutureListener.CLOSE);
+                return;
+            }
             ctx.writeAndFlush(out, ctx.voidPromise());
         }
 
@@ -101,6 +118,7 @@
             } else {
                 ByteBufUtil.writeAscii(out, "VA 5" + id + "\r\nvalue\r\n");
             }
+            ByteBufUtil.writeAscii(out, chatter);
         }
     }
 }
--- a/lab/src/test/java/holdproxy/lab/emulator/EmulationTest.java
+++ b/lab/src/test/java/holdproxy/lab/emulator/EmulationTest.java
@@ -3,20 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetSocketAddress;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 class EmulationTest {
-    private static final SiteModel.Proxy FREE = new SiteModel.Proxy(4, true, true, true, 250, 1024, 1000, 0, 0);
+    static final SiteModel.Proxy FREE = new SiteModel.Proxy(4, true, true, true, 250, 1024, 1000, 0, 0);
 
-    private static SiteModel site(SiteModel.Proxy proxy, int nodes, double load) {
+    static SiteModel site(SiteModel.Proxy proxy, int nodes, double load) {
         return new SiteModel(List.of("east", "west"), 3, nodes, load, 0.55, 5_000, 16_000, true,
             List.of(new SiteModel.Machine("full", 1, 1, 1)),
             new SiteModel.Node(1, 8, 2, true, true, 0.2, 4_000, 4, 2_000, 150, 2, 200, 80, 0.1, 3),
@@ -92,50 +88,4 @@
         assertTrue(o.figures().get("p50 ms") > free.figures().get("p50 ms") + 8,
             free.figures() + " " + o.figures());
     }
-
-    /**
-     * A node alone against Pollaczek and Khinchine's mean wait of M/G/1: load / (1 - load) * (1 + cv^2) / 2 services.
-     * Danger: a queue that is not one, and every figure that rests on it.
-     */
-    @ParameterizedTest
-    @CsvSource({"0.3, 0", "0.6, 0", "0.8, 0", "0.6, 0.5", "0.8, 0.5", "0.6, 1", "0.75, 1"})
-    void aNodeQueuesAsTheoryHasIt(double load, double cv) {
-        double workMs = 10;
-        Site site = new Site();
-        site.kinds.clear();
-        site.kinds.add(new Site.Kind("read", Site.Effect.PURE, GroupMemory.Group.ALL, 1e6, 1e6, 1, 0, 1, 1, workMs, cv));
-        World world = new World(9);
-        SimNet net = new SimNet(world);
-        net.latency(0);
-        NodeModel model = site.model(1);
-        model.slots = 1;
-        model.queue = 100_000;
-        model.late = NodeModel.Late.RUNS;
-        model.handshakeMs = 0;
-        model.connections = 100_000;
-        model.idleMs = 1e9;
-        InetSocketAddress at = NodeEntry.address(2, 0, 11211);
-        ScriptedNode node = new ScriptedNode(net, site.entry(0, at), model, new ScriptedNode.Shared(
-            new Origin(net, 1, 1, 1, 0, 1), site.memories()), 3);
-        ClientModel asks = new ClientModel();
-        asks.keys = 1;
-        asks.connections = 100_000;
-        asks.idleMs = 1e9;
-        asks.retries = 0;
-        asks.tryShare = 1;
-        node.start(1);
-        node.keep(ClientModel.key(0));
-        Ledger ledger = new Ledger(site);
-        ScriptedClient client = new ScriptedClient(net, "c", site, asks, ledger, List.of(at), 4);
-        net.record().off();
-        long end = 2_000 * Town.S;
-        client.arrivals(end, () -> load * 1000 / workMs);
-        world.runUntil(end + 60 * Town.S);
-        double mean = ledger.entries().stream().mapToDouble(e -> (e.endedNs - e.askedNs) / 1e6).average().orElseThrow();
-        double theory = workMs * (1 + load / (1 - load) * (1 + cv * cv) / 2);
-        assertEquals(theory, mean, 0.05 * theory, ledger.entries().size() + " requests");
-        Map<Ledger.Result, Integer> ends = new LinkedHashMap<>();
-        ledger.entries().forEach(e -> ends.merge(e.result, 1, Integer::sum));
-        assertEquals(Map.of(Ledger.Result.IN_TIME, ledger.entries().size()), ends);
-    }
 }
--- a/lab/src/test/java/holdproxy/lab/load/LoadTest.java
+++ b/lab/src/test/java/holdproxy/lab/load/LoadTest.java
@@ -12,7 +12,13 @@
 class LoadTest {
     private static LoadPlan plan(InetSocketAddress to, double perS, double seconds) {
         return new LoadPlan(List.of(to), perS, seconds, 0, 8, 4, 2, List.of(new LoadPlan.Part("read", 0.9, false),
-            new LoadPlan.Part("put", 0.1, true)), List.of(new LoadPlan.Part("one", 1, false)), 1_000, 0.9, 40, 3_000, 1);
+            new LoadPlan.Part("put", 0.1, true)), List.of(new LoadPlan.Part("one", 1, false)), 1_000, 0.9, 40, 400,
+            3_000, 1, perS, true);
+    }
+
+    private static LoadPlan unjudged(LoadPlan p, double perS) {
+        return new LoadPlan(p.targets(), perS, p.seconds(), 0, 8, 4, 2, p.classes(), p.tenants(), p.keys(), p.zipf(), 40, 40,
+            p.waitMs(), 1, perS, false);
     }
 
     @Test
@@ -21,6 +27,8 @@
             LoadResult r = new Load(plan(node.address(), 2_000, 1)).run(line -> { });
             assertEquals(r.due(), r.count(LoadResult.End.SERVED), "lost " + r.count(LoadResult.End.LOST));
             assertTrue(r.due() > 1_750 && r.due() < 2_250, r.due() + " were due");
+            assertEquals(List.of(), r.findings().violations());
+            assertEquals(r.due(), r.findings().count("served"));
         }
     }
 
@@ -47,7 +55,7 @@
     @Test
     void aGeneratorThatIsTooSlowSaysSo() throws Exception {
         try (StandIn node = new StandIn(1)) {
-            LoadResult r = new Load(plan(node.address(), 1e7, 0.5)).run(line -> { });
+            LoadResult r = new Load(unjudged(plan(node.address(), 1_000, 0.5), 1e7)).run(line -> { });
             assertTrue(r.voidFor().contains("generator"), r.voidFor() + ", late " + r.lateMs(99));
         }
     }
@@ -63,10 +71,26 @@
         }
     }
 
+    /** Danger: a broken rule that the tool sees and does not tell. */
+    @Test
+    void whatABadServerDoesIsFoundInTheBytes() throws Exception {
+        try (StandIn node = new StandIn(1)) {
+            node.say("HD O1 c1\r\n");
+            LoadResult r = new Load(plan(node.address(), 500, 0.4)).run(line -> { });
+            assertTrue(r.strays() > 0, "no stray");
+        }
+        try (StandIn node = new StandIn(1)) {
+            node.cut();
+            LoadResult r = new Load(plan(node.address(), 500, 0.4)).run(line -> { });
+            assertTrue(r.findings().violations().stream().anyMatch(v -> v.toString().contains("ended without an answer")
+                || v.toString().contains("beginning of an answer")), r.findings().violations().toString());
+        }
+    }
+
     @Test
     void stoppedEarlyItTellsWhatThereIs() throws Exception {
         try (StandIn node = new StandIn(1)) {
-            Load load = new Load(plan(node.address(), 1_000, 600));
+            Load load = new Load(unjudged(plan(node.address(), 100, 600), 1_000));
             LoadResult r = load.run(line -> load.stop());
             assertTrue(r.due() > 100 && r.due() < 60_000, r.due() + " were due");
             assertEquals("", r.voidFor());
