Turns, blame and budgets: nobody's flood, silence or mark is paid for by others

Cause: a read was decoded whole, so one connection's newlines, greetings or pipeline held the loop; a value held its room when announced; a want of descriptors and a client's haste were blamed on nodes and tenants; a node that rejects all was never blamed; a slow reader's answers were cut 0.5 s after the last was written; r=1 was believed without end. Change: connections are read in turns (deficit round robin over decoded work), values grow as they come and the slowest gives back, nonsense that comes faster than it is answered ends the connection, blame is decided in one core, answers of one read go out in one write, a closing connection waits while its client takes what was written, and a mark is believed as often as its tenant was turned away.

--- a/lab/src/main/java/holdproxy/lab/experiment/Builds.java
+++ b/lab/src/main/java/holdproxy/lab/experiment/Builds.java
@@ -39,7 +39,8 @@
  */
 public final class Builds implements AutoCloseable {
     /** Packages of the proxy, whichever module they stood in. */
-    private static final List<String> PARTS = List.of("holdproxy/net/", "holdproxy/sim/", "holdproxy/control/");
+    private static final List<String> PARTS = List.of("holdproxy/net/", "holdproxy/sim/", "holdproxy/control/",
+        "holdproxy/limits/");
     /** The entry point: before there were modules it led to the agent too, and such a commit has no process here. */
     private static final String ENTRY = "proxy/src/main/java/holdproxy/app/";
     private static final List<String> ROOTS = List.of("proxy/src/main/java/", "src/main/java/");
--- a/lab/src/test/java/holdproxy/DependenciesTest.java
+++ b/lab/src/test/java/holdproxy/DependenciesTest.java
@@ -25,26 +25,27 @@
         "holdproxy", Set.of(),
         "holdproxy.control", Set.of("holdproxy"),
         "holdproxy.supervise", Set.of(),
-        "holdproxy.net", Set.of("holdproxy", "holdproxy.control"),
+        "holdproxy.net", Set.of("holdproxy", "holdproxy.control", "holdproxy.limits"),
+        "holdproxy.limits", Set.of(),
         "holdproxy.sim", Set.of("holdproxy"),
         "holdproxy.site", Set.of("holdproxy", "holdproxy.control", "holdproxy.supervise"),
         "holdproxy.agent", Set.of("holdproxy", "holdproxy.control", "holdproxy.supervise", "holdproxy.site"),
         "holdproxy.demo", Set.of("holdproxy", "holdproxy.control"),
-        "holdproxy.cli", Set.of("holdproxy", "holdproxy.control", "holdproxy.site"),
-        "holdproxy.app", Set.of("holdproxy", "holdproxy.net", "holdproxy.sim"));
+        "holdproxy.cli", Set.of("holdproxy", "holdproxy.control", "holdproxy.site"));
     /** The same of the fleet's entry point and the lab; no module before theirs sees them. */
     private static final Map<String, Set<String>> LATER_MAY = Map.of(
+        "holdproxy.app", Set.of("holdproxy", "holdproxy.net", "holdproxy.sim"),
         "holdproxy.fleet", Set.of("holdproxy", "holdproxy.net", "holdproxy.agent", "holdproxy.cli", "holdproxy.demo"),
         "holdproxy.lab.check", Set.of(),
         "holdproxy.lab.emulator", Set.of("holdproxy", "holdproxy.net", "holdproxy.lab.check"),
         "holdproxy.lab.stats", Set.of(),
-        "holdproxy.lab.load", Set.of(),
+        "holdproxy.lab.load", Set.of("holdproxy.lab.check"),
         "holdproxy.lab.experiment", Set.of("holdproxy.lab.emulator", "holdproxy.lab.stats"),
         "holdproxy.lab.report", Set.of("holdproxy.lab.emulator", "holdproxy.lab.experiment", "holdproxy.lab.stats"),
-        "holdproxy.lab.cli", Set.of("holdproxy.lab.emulator", "holdproxy.lab.experiment", "holdproxy.lab.load",
+        "holdproxy.lab.cli", Set.of("holdproxy.lab.check", "holdproxy.lab.emulator", "holdproxy.lab.experiment", "holdproxy.lab.load",
             "holdproxy.lab.report", "holdproxy.lab.stats"));
     /** What decides: no I/O, no clock, no threads. */
-    private static final Set<String> CORES = Set.of("holdproxy", "holdproxy.supervise");
+    private static final Set<String> CORES = Set.of("holdproxy", "holdproxy.limits", "holdproxy.supervise");
     private static final Set<String> CORES_MAY = Set.of("java.lang", "java.lang.invoke", "java.util",
         "java.util.function", "java.util.stream", "java.lang.runtime");
     private static final Set<String> NOT_IN_CORES = Set.of("java.lang.System", "java.lang.Thread",
--- a/proxy/src/main/java/holdproxy/Choice.java
+++ b/proxy/src/main/java/holdproxy/Choice.java
@@ -25,6 +25,12 @@
     // Up to the chance that brings a tenant down to its quota a step is this much larger, where what is
     // beyond a quota is worth nothing. Without it 16% of attempts had to fail to keep such a tenant out.
     static final double EXCESS_WEIGHT = 10;
+    // A client that waits for less than this part of the aim asks for what nobody can give: no demand.
+    static final double HASTE = 0.2;
+    // Repeats that a refusal accounts for: more than one, as they fade until they come, or come from
+    // elsewhere.
+    static final double OWED = 1.5;
+    static final double OWED_MOST = 1e6;
     // Larger steps swing beyond the balance and back, within a second where few are admitted.
     static final double PI_MOST = 0.2;
     // Redemption: a chance fades by 1/e in this time, so that a refused tenant is tried again within seconds.
@@ -115,6 +121,8 @@
     private final Fading heatCount = new Fading(HEAT_US);
     private long rotateAt;
     private final Fading[] asked;
+    /** How often each tenant's requests were turned away here and may be expected again. */
+    private final Fading[] owed;
     private final Fading[] admitted;
     private final double leastWorth;
     private double meanChance;
@@ -149,6 +157,7 @@
         coldLimit = new ColdLimit(settings);
         leastWorth = Math.max(1e-6, Arrays.stream(set.classes).mapToDouble(c -> c.worth).min().orElse(1));
         asked = Fading.array(Math.max(1, settings.tenants.length), RATE_US);
+        owed = Fading.array(asked.length, RATE_US);
         admitted = Fading.array(asked.length, RATE_US);
         if (settings.askForNodes) {
             // a thousand proxies starting together would swamp discovery: each takes its own moment
@@ -185,10 +194,10 @@
         }
         startedAt = startedAt == Long.MIN_VALUE ? now : startedAt;
         int tenant = q.tenant >= 0 && q.tenant < asked.length ? q.tenant : 0;
-        if (!q.repeat) {
-            asked[tenant].count(now); // what clients repeat after a refusal is not more demand
-        }
         int type = Math.max(0, Math.min(q.requestClass, set.classes.length - 1));
+        if (!expected(q, tenant, now) && q.dueUs - now >= HASTE * set.classes[type].aimUs) {
+            asked[tenant].count(now);
+        }
         meanRatio += (quotaRatio(tenant, now) - meanRatio) * RATIO_LEARN;
         double chance = live.min(tenant, now);
         if (chance > 0 && random.unit() < chance) {
@@ -198,6 +207,7 @@
             } else {
                 out.refuse(q.id, retryAfter(chance));
             }
+            owed[tenant].add(OWED, OWED_MOST, now);
             return;
         }
         admitted[tenant].count(now);
@@ -211,6 +221,19 @@
         start(r, now, out);
     }
 
+    /**
+     * What clients repeat after a refusal is not more demand. A mark is believed as often as this tenant
+     * was turned away here: a tenant that marked everything at four times its share had 0.41 of service
+     * where 0.07 were due.
+     */
+    private boolean expected(Request q, int tenant, long now) {
+        if (!q.repeat || owed[tenant].get(now) < OWED / 2) {
+            return false;
+        }
+        owed[tenant].add(-1, OWED_MOST, now);
+        return true;
+    }
+
     /** A line for the people on call, at most one in a while however bad it gets. */
     private void report(long now, String what, Actions out) {
         if (now >= reportAt) {
@@ -444,6 +467,7 @@
         if (r.done) {
             return;
         }
+        owed[r.tenant].add(OWED, OWED_MOST, now);
         long until = harmlessUntil(r);
         long advice = retryAfter(live.min(r.tenant, now));
         // a client comes again at any time that it has left, or, told when, not much later than that
@@ -638,6 +662,7 @@
     public void onAborted(long now, long id, Actions out) {
         Open r = open.get(id);
         if (r != null && !r.done) {
+            owed[r.tenant].add(OWED, OWED_MOST, now); // its client has given up, and comes again
             conclude(r, out);
         }
     }
--- a/proxy/src/main/java/holdproxy/net/Admission.java
+++ b/proxy/src/main/java/holdproxy/net/Admission.java
@@ -138,6 +138,20 @@
         }
     }
 
+    /**
+     * The one that has been inside a command for longest loses what has come of its value; false where
+     * none has any.
+     */
+    boolean takeBack() {
+        for (ClientSession s : halfSaid) {
+            if (s.giveBack()) {
+                halfSaid.remove(s);
+                return true;
+            }
+        }
+        return false;
+    }
+
     void closed(ClientSession s) {
         all.remove(s);
         strangers.remove(s);
--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -1,5 +1,7 @@
 package holdproxy.net;
 
+import holdproxy.limits.Allowance;
+import holdproxy.limits.Turns;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -11,10 +13,22 @@
 import java.util.concurrent.TimeUnit;
 
 /** One client connection: its requests in order, each with one answer, written in that order. */
-final class ClientSession extends SimpleChannelInboundHandler<Object> {
+final class ClientSession extends SimpleChannelInboundHandler<Object> implements MetaDecoder.Gate {
     /** So many unanswered requests and the connection is not read on until some are answered. */
     private static final int MOST_WAITING = 128;
     private static final int LINGER_MS = 500;
+    /**
+     * What is written and not yet taken by a client that is to go: each answer within this, and it gets
+     * all.
+     */
+    private static final int SLOW_MS = 3_000;
+    /** What cannot be read: so many at once, and so many a second; one more ends the connection. */
+    private static final double FAULTS = 6;
+    private static final double FAULTS_PER_S = 0.5;
+    /** Of a turn's work: a greeting, a request, and so many bytes of a value. */
+    private static final double GREETING_COST = 1;
+    private static final double REQUEST_COST = 4;
+    private static final double COST_BYTES = 4 << 10;
     private static final int PAUSE_MS = 500;
 
     /** A request's place in the order of answers. */
@@ -61,10 +75,96 @@
     private boolean known;
     private boolean paused;
     private boolean lost;
+    private final Turns.Account account = new Turns.Account();
+    private Allowance faults;
+    /** The decoder holds bytes that it may not read yet; and since when such were held, 0 for none. */
+    private boolean behind;
+    private long heldUs;
+    private boolean inRead;
+    private boolean dirty;
+    private long untaken;
+    private boolean served;
+    /** The node that could not use its requests; once there were two the fault is its own. */
+    private NodePool rejecter;
+    private boolean odd;
 
     ClientSession(Proxy proxy, Command.Decoder decoder) {
         this.proxy = proxy;
         this.decoder = decoder;
+        decoder.gate(this);
+    }
+
+    // ---- turns: what waits in the decoder ----
+
+    /** Danger: a read of 64 KB holds 16,000 greetings, and all others waited for them. */
+    @Override
+    public boolean open() {
+        if (!inRead) {
+            inRead = true;
+            proxy.turns.fresh(account);
+        }
+        boolean room = !paused && slots.size() < MOST_WAITING;
+        if (room && account.may()) {
+            return true;
+        }
+        if (!behind) {
+            behind = true;
+            heldUs = heldUs == 0 ? proxy.now() : heldUs;
+            throttle();
+        }
+        if (room) {
+            proxy.waitsForTurn(this, account);
+        }
+        return false;
+    }
+
+    /** Its turn has come, or what it waited for. */
+    void resume() {
+        if (!behind || !channel.isActive()) {
+            return;
+        }
+        behind = false;
+        inRead = true;
+        try {
+            decoder.resume();
+        } catch (Exception e) {
+            channel.close();
+        }
+    }
+
+    /** How long what is read now may have waited with us. */
+    long heldUs(long now) {
+        return heldUs == 0 ? 0 : now - heldUs;
+    }
+
+    private void goOn() {
+        if (behind && !paused && slots.size() < MOST_WAITING) {
+            proxy.waitsForTurn(this, account);
+        }
+    }
+
+    // ---- what it is held for ----
+
+    void served() {
+        served = true;
+    }
+
+    /** Whether a node that cannot use its request may be the one at fault. */
+    boolean usable(NodePool by) {
+        odd |= rejecter != null && rejecter != by;
+        rejecter = by;
+        return served && !odd;
+    }
+
+    /** The room that its value takes is given to others: it has been coming for longest. */
+    boolean giveBack() {
+        if (!decoder.abandon()) {
+            return false;
+        }
+        lost = true;
+        unread = true;
+        fail("CLIENT_ERROR the value comes too slowly");
+        return true;
     }
 
     @Override
@@ -100,6 +200,7 @@
         if (unread) {
             return; // behind a lost framing, or after the end of our sending: the client asks again elsewhere
         }
+        inRead = true;
         Slot slot = new Slot();
         slots.add(slot);
         whole = true;
@@ -108,6 +209,8 @@
             proxy.admission.known(this);
         }
         proxy.admission.busy(this);
+        account.spent(message instanceof Command c ? REQUEST_COST + c.valueBytes() / COST_BYTES
+            : GREETING_COST);
         if (refusing && !(message instanceof Command.Fault)) {
             closing = true;
             answer(slot, proxy.busy());
@@ -130,11 +233,23 @@
         lost |= f.close();
         unread |= f.close();
         closing |= f.close();
-        paused = true;
-        channel.eventLoop().schedule(() -> {
-            paused = false;
-            throttle();
-        }, PAUSE_MS, TimeUnit.MILLISECONDS);
+        long now = proxy.now();
+        faults = faults == null ? new Allowance(FAULTS_PER_S, FAULTS, now) : faults;
+        if (!f.close() && decoder.holds() && !faults.take(now)) {
+            lost = true; // nothing that can be read comes from there: its line, and the end
+            unread = true;
+            closing = true;
+        }
+        if (!paused) {
+            paused = true;
+            channel.eventLoop().schedule(() -> {
+                paused = false;
+                heldUs = heldUs == 0 ? now : heldUs; // what came meanwhile has waited with the kernel
+                proxy.afterReading(() -> heldUs = behind ? heldUs : 0);
+                goOn();
+                throttle();
+            }, PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
         answer(slot, f.line());
     }
 
@@ -149,6 +264,15 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         readOnce = true;
+        inRead = false;
+        if (dirty) {
+            dirty = false;
+            channel.flush();
+        }
+        if (!behind && !decoder.holds()) {
+            heldUs = 0;
+        }
+        throttle();
         boolean reading = !unread && channel.config().isAutoRead(); // else what is missing may be with us
         proxy.admission.said(this, reading && decoder.partial(), whole);
         whole = false;
@@ -157,7 +281,7 @@
     /** Bounded memory: a client that asks without end or does not read its answers is not read from. */
     private void throttle() {
         boolean room = !closing && slots.size() < MOST_WAITING && channel.isWritable();
-        channel.config().setAutoRead(!paused && !lost && (unread || room));
+        channel.config().setAutoRead(!paused && !lost && !behind && (unread || room));
     }
 
     @Override
@@ -192,11 +316,20 @@
         while (!slots.isEmpty() && slots.peek().answer != null) {
             ByteBuf next = slots.poll().inTime(this);
             int size = next.readableBytes();
-            channel.write(next).addListener(f -> proxy.untaken(-size));
+            untaken += size;
+            channel.write(next).addListener(f -> {
+                untaken -= size;
+                proxy.untaken(-size);
+            });
             any = true;
         }
         if (any) {
-            channel.flush();
+            if (inRead) {
+                dirty = true; // one write for all that this read brings
+            } else {
+                channel.flush();
+            }
+            goOn();
             throttle();
         }
         if (slots.isEmpty()) {
@@ -235,10 +368,30 @@
         }
         ending = true;
         unread = true;
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-            .addListener(f -> ((DuplexChannel) channel).shutdownOutput());
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+            if (f.isSuccess()) {
+                ((DuplexChannel) channel).shutdownOutput();
+            }
+            channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        });
         throttle();
-        channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        slowly(untaken);
+    }
+
+    /**
+     * Danger: closed after a fixed time, a client on a slow link loses the rest of an answer that it was
+     * taking.
+     */
+    private void slowly(long before) {
+        if (before > 0) {
+            channel.eventLoop().schedule(() -> {
+                if (untaken < before) {
+                    slowly(untaken);
+                } else {
+                    channel.close();
+                }
+            }, SLOW_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     @Override
--- a/proxy/src/main/java/holdproxy/net/Ending.java
+++ b/proxy/src/main/java/holdproxy/net/Ending.java
@@ -30,7 +30,7 @@
     SPOILT(Router.Outcome.RESET, Next.CLOSE),
     /** The connection broke or ended after the request's last byte: it may have run. */
     CUT(Router.Outcome.RESET, Next.CLOSE),
-    /** Refused, never up, no descriptor for it, or broken before the request's last byte: it never ran. */
+    /** Refused, never up, or broken before the request's last byte: it never ran. */
     NOT_WRITTEN(Router.Outcome.CONNECT_FAILED, Next.CLOSE),
     /** Nothing came in time, and its last byte had gone: it may have run, or may yet. */
     TIMED_OUT(Router.Outcome.TIMEOUT, Next.CLOSE),
@@ -38,6 +38,13 @@
     WITHDRAWN(Router.Outcome.CANCELLED, Next.CLOSE),
     /** The loop stood still meanwhile: that tells nothing of the node. Taken for one that may have run. */
     STOOD_OVER(Router.Outcome.CANCELLED, Next.CLOSE),
+    /**
+     * No descriptor was left for a connection: our own shortage, which tells nothing of the node. It
+     * never ran.
+     */
+    NO_ROOM(Router.Outcome.NOT_SENT, Next.ANY),
+    /** Its client had no patience to speak of. Taken for one that may have run. */
+    HASTE(Router.Outcome.CANCELLED, Next.CLOSE),
     /** Its request or its time was over, its node not listed or its attempts used up: it was sent nowhere. */
     NOT_SENT(Router.Outcome.NOT_SENT, Next.ANY);
 
--- a/proxy/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/proxy/src/main/java/holdproxy/net/MetaDecoder.java
@@ -1,22 +1,38 @@
 package holdproxy.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 
 /** Lines, each perhaps with a block of bytes after it: the framing of the memcache text protocol. */
 abstract class MetaDecoder extends ByteToMessageDecoder {
     static final int LONGEST_LINE = 2048;
     static final int NO_BLOCK = -1;
+    /**
+     * A block that was announced has so much at first, and more as it comes: silence must not hold
+     * others' room.
+     */
+    private static final int FIRST_BYTES = 4 << 10;
+
+    /** Says before each message whether it may be read now; whoever says no calls {@link #resume} later. */
+    interface Gate {
+        boolean open();
+    }
 
     private final int largest;
     private final Budget budget;
     /** The block that is coming, null between blocks, and how much of it has come. */
     private byte[] block;
     private int filled;
+    private int total;
+    private boolean growing;
     private boolean lost;
+    private Gate gate = () -> true;
+    private ChannelHandlerContext context;
 
     /** {@code largest}: the longest block; {@code budget}: for all that come on connections like this. */
     MetaDecoder(int largest, Budget budget) {
@@ -24,6 +40,46 @@
         this.budget = budget;
     }
 
+    final void gate(Gate by) {
+        gate = by;
+    }
+
+    @Override
+    public final void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    /** Whether bytes wait to be read as messages. */
+    final boolean holds() {
+        return !lost && block == null && actualReadableBytes() > 0;
+    }
+
+    /** Goes on with what waits. */
+    final void resume() throws Exception {
+        channelRead(context, Unpooled.EMPTY_BUFFER);
+        channelReadComplete(context);
+    }
+
+    /** Netty's own would read on where reading is switched off. */
+    @Override
+    public final void channelReadComplete(ChannelHandlerContext ctx) {
+        discardSomeReadBytes();
+        ctx.fireChannelReadComplete();
+    }
+
+    /**
+     * What has come of a block is thrown away, and all that follows. False where there is none, or it
+     * grows just now.
+     */
+    final boolean abandon() {
+        if (block == null || growing) {
+            return false;
+        }
+        release();
+        lost = true;
+        return true;
+    }
+
     /** Whether a message has begun to come and has not ended. */
     final boolean partial() {
         return !lost && (block != null || actualReadableBytes() > 0);
@@ -43,17 +99,21 @@
             in.skipBytes(in.readableBytes());
         } else if (block != null) {
             decodeBlock(in, out);
-        } else {
+        } else if (gate.open()) {
             decodeLine(in, out);
         }
     }
 
     /** A block is filled as it comes: gathered first, it would be held twice and more. */
     private void decodeBlock(ByteBuf in, List<Object> out) {
+        if (filled == block.length && filled < total && !grow()) {
+            lose("too much is coming at once", out);
+            return;
+        }
         int some = Math.min(in.readableBytes(), block.length - filled);
         in.readBytes(block, filled, some);
         filled += some;
-        if (filled < block.length || in.readableBytes() < 2) {
+        if (filled < total || in.readableBytes() < 2) {
             return;
         }
         byte[] value = block;
@@ -65,10 +125,25 @@
         block(value, out);
     }
 
+    private boolean grow() {
+        int size = Math.min(total, block.length * 2);
+        growing = true; // who is asked to give back must not be asked for this one
+        try {
+            if (!budget.take(size - block.length)) {
+                return false;
+            }
+        } finally {
+            growing = false;
+        }
+        block = Arrays.copyOf(block, size);
+        return true;
+    }
+
     private void decodeLine(ByteBuf in, List<Object> out) {
         int end = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
         int length = (end < 0 ? in.writerIndex() : end) - in.readerIndex();
         if (length > LONGEST_LINE) {
+            in.skipBytes(in.readableBytes()); // a message that takes no bytes is an error of the decoder's
             lose("line too long", out); // or memory would grow with what a peer likes to send
         } else if (end >= 0) {
             String line = in.readString(length, StandardCharsets.ISO_8859_1);
@@ -78,10 +153,11 @@
                 lose("object too large", out);
             } else if (follows != NO_BLOCK && follows < 0) {
                 lose("bad data length", out);
-            } else if (follows != NO_BLOCK && !budget.take(follows)) {
+            } else if (follows != NO_BLOCK && !budget.take(Math.min(follows, FIRST_BYTES))) {
                 lose("too much is coming at once", out);
             } else if (follows != NO_BLOCK) {
-                block = new byte[follows];
+                block = new byte[Math.min(follows, FIRST_BYTES)];
+                total = follows;
                 filled = 0;
             }
         }
--- a/proxy/src/main/java/holdproxy/net/NodePool.java
+++ b/proxy/src/main/java/holdproxy/net/NodePool.java
@@ -1,5 +1,6 @@
 package holdproxy.net;
 
+import holdproxy.limits.Blame;
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -17,6 +18,8 @@
     SocketAddress address;
     /** Its node takes nothing new: a connection that comes back from its last answer would only be held. */
     private boolean left;
+    /** Running, of clients whose requests others could use. */
+    private int rejections;
     private final List<NodeConnection> all = new ArrayList<>();
     /** Newest last: the newest is used first, so that what is not needed grows old and is closed. */
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
@@ -26,7 +29,7 @@
 
     NodePool(NodePools pools, String name, SocketAddress address) {
         this.pools = pools;
-        this.name = name;
+        this.name = Config.shown(name); // it goes into the log as it stands
         this.address = address;
     }
 
@@ -49,7 +52,7 @@
         }
         if (c == null) {
             pools.noneLeft(this);
-            pools.proxy.ended(a, Ending.NOT_WRITTEN, null);
+            pools.proxy.ended(a, Ending.NO_ROOM, null);
             return;
         }
         c.add(a);
@@ -85,6 +88,20 @@
         return null;
     }
 
+    /**
+     * The node has found a request unusable, or has answered one; whether that says that it is at fault
+     * itself.
+     */
+    boolean rejects(ClientSession client, boolean rejected) {
+        if (!rejected) {
+            rejections = 0;
+            client.served();
+        } else if (client.usable(this)) {
+            rejections++;
+        }
+        return rejected && Blame.ofNode(rejections);
+    }
+
     void added(NodeConnection c) {
         all.add(c);
     }
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -3,6 +3,8 @@
 import holdproxy.BadInput;
 import holdproxy.Choice;
 import holdproxy.Router;
+import holdproxy.limits.Blame;
+import holdproxy.limits.Turns;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -44,12 +46,10 @@
     private static final long HOLD_US = 1_000;
     private static final long JUST_US = 5_000;
     private static final long LATE_TOLD_US = 50_000;
-    /** Late for more than one part in so many of an attempt's time, the loop is what took that time. */
-    private static final long LATE_PART = 4;
+    /** Of work in a turn, as {@link ClientSession} counts it: four requests, or sixteen greetings. */
+    private static final double TURN = 16;
     /** Less is the usual jitter of timers. */
     private static final long LATE_LEAST_US = 5_000;
-    /** Late for more than this part of some seconds, the proxy is overloaded, and has to refuse requests. */
-    private static final double LATE_MOST = 0.4;
     private static final double LATE_LEARN = 1.0 / 64;
 
     private final Config config;
@@ -69,6 +69,8 @@
     /** The ids that clients gave to what is in the table. */
     private final Set<String> openIds = new HashSet<>();
     final Admission admission;
+    /** Connections whose bytes wait to be read as commands. */
+    final Turns<ClientSession> turns = new Turns<>(TURN);
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
@@ -83,6 +85,7 @@
     private final ArrayDeque<Exchange> unsettled = new ArrayDeque<>();
     private final long holdAfterUs;
     private boolean inEvent;
+    private boolean roundDue;
     private long nextId = 1;
     private long tickDueUs;
     /** The last three ticks. */
@@ -109,6 +112,7 @@
         admission = new Admission(this, mostSessions, config.sockets / 4);
         // the rest of the grace is for a connection to come up in
         holdAfterUs = config.settings.drainGraceUs > 0 ? config.settings.drainGraceUs / 4 : Long.MAX_VALUE;
+        coming.relief(admission::takeBack);
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
             names.classes().put(config.settings.classes[i].name, i);
@@ -347,6 +351,25 @@
         }
     }
 
+    /**
+     * Reads are fair by rounds: a timer, since tasks that ask for one another keep the loop from its
+     * sockets.
+     */
+    void waitsForTurn(ClientSession s, Turns.Account account) {
+        turns.waits(s, account);
+        if (!roundDue) {
+            roundDue = true;
+            after(0, this::round);
+        }
+    }
+
+    private void round() {
+        roundDue = false; // first: who is not through with its turn asks for the next
+        for (int left = turns.waiting(); left > 0; left--) {
+            turns.next().resume();
+        }
+    }
+
     void idle(ClientSession s) {
         admission.idle(s);
         if (listener.stopped()) {
@@ -379,7 +402,8 @@
         long classUs = config.settings.classes[c.requestClass].deadlineUs;
         long waitUs = c.waitMs == Command.NOT_STATED ? classUs : c.waitMs * 1000L;
         waitUs = classUs > 0 ? Math.min(waitUs, classUs) : waitUs; // no client holds a place for longer
-        long stoodUs = Math.max(stoodStillUs(now), session.acceptedLateUs(now));
+        long stoodUs = Math.max(stoodStillUs(now),
+            Math.max(session.acceptedLateUs(now), session.heldUs(now)));
         long dueUs = now + Math.max(waitUs / 2, waitUs - TRANSIT_US) - stoodUs;
         boolean safe = config.settings.classes[c.requestClass].effect == Router.Effect.SAFE;
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs, safe);
@@ -461,6 +485,11 @@
         a.over = true;
         a.timer.cancel(false);
         x.out--;
+        NodePool by = a.connection == null ? null : a.connection.pool;
+        if (by != null && (ending == Ending.SERVED || ending == Ending.REJECTED)
+                && by.rejects(x.session, ending == Ending.REJECTED)) {
+            ending = Ending.FAILED; // the node's fault: another may serve it
+        }
         if (ending == Ending.SERVED && !x.answered) {
             concluded(x, Counts.End.SERVED);
             x.session.answer(x.slot, answer.encode());
@@ -473,7 +502,7 @@
         }
         settle(x);
         long now = now();
-        Ending told = stoodOver(a, ending, now) ? Ending.STOOD_OVER : ending;
+        Ending told = told(a, ending, now);
         event(() -> {
             if (answer != null) {
                 answer.report(report);
@@ -485,26 +514,20 @@
         });
     }
 
-    /**
-     * Its time ran out, or the node found it over, while the loop stood still: that tells nothing of the node
-     * or the load. Told as failures, one pause would make the module refuse requests for seconds. So it does
-     * where the loop ran late again and again: aims of 75 ms are over before a pause can be called one. An
-     * answer in time that was read too late is no failure of theirs either.
-     */
-    private boolean stoodOver(Attempt a, Ending ending, long now) {
+    private Ending told(Attempt a, Ending ending, long now) {
+        long aim = config.settings.classes[a.exchange.command.requestClass].aimUs;
         boolean timedOut = ending == Ending.TIMED_OUT;
-        if ((timedOut || ending == Ending.BUSY) && now - a.sentUs > a.waitUs + TICK_US) {
-            return lateShare < LATE_MOST;
+        if (Blame.stoodOver(timedOut, ending == Ending.BUSY, ending == Ending.SERVED, now - a.sentUs,
+                a.waitUs, aim, lateUs(now) - a.lateUs, TICK_US, lateShare)) {
+            return Ending.STOOD_OVER;
         }
-        long took = now - a.sentUs;
-        long aim = config.settings.classes[a.exchange.command.requestClass].aimUs;
-        boolean inTime = ending == Ending.SERVED && took > aim && took - (lateUs(now) - a.lateUs) <= aim;
-        return (timedOut || inTime) && ranLate(a, now);
+        int waitMs = a.exchange.command.waitMs;
+        boolean hasty = waitMs != Command.NOT_STATED && Blame.hasty(timedOut, waitMs * 1000L, aim);
+        return hasty ? Ending.HASTE : ending;
     }
 
-    /** Whether the loop ran late for much of an attempt; one that always does is overloaded: that counts. */
     private boolean ranLate(Attempt a, long now) {
-        return lateUs(now) - a.lateUs > a.waitUs / LATE_PART && lateShare < LATE_MOST;
+        return Blame.ranLate(lateUs(now) - a.lateUs, a.waitUs, lateShare);
     }
 
     private void giveUp(Attempt a, Ending ending) {
