hatchlab attack: what clients that mean harm cost another tenant; a few turns between looks at the sockets

Cause: nothing measured what a flood costs others, and a round of 100 turns kept those who ask for little waiting (p99 63 ms beside 100 pipelines).

--- a/lab/src/main/java/holdproxy/lab/cli/Main.java
+++ b/lab/src/main/java/holdproxy/lab/cli/Main.java
@@ -10,7 +10,7 @@
 @Command(name = "hatchlab", mixinStandardHelpOptions = true, version = "hatchlab 0.1.0",
     description = "Tries sites, settings and troubles before anybody rolls them out.",
     subcommands = {Run.class, Check.class, Replay.class, Shrinks.class,
-        Compare.class, LoadCommand.class})
+        Compare.class, LoadCommand.class, AttackCommand.class})
 public final class Main implements Runnable {
     static final int BROKEN = 1;
     static final int USAGE = 2;
--- a/lab/src/main/java/holdproxy/lab/cli/Run.java
+++ b/lab/src/main/java/holdproxy/lab/cli/Run.java
@@ -73,7 +73,7 @@
     }
 
     /** Of this build: {@code lab/target/hatchlab.jar} has it in {@code proxy/target}. */
-    private static Path beside() {
+    static Path beside() {
         Path jar = Path.of(System.getProperty("java.class.path").split(java.io.File.pathSeparator)[0]).toAbsolutePath();
         Path root = jar.getParent() == null || jar.getParent().getParent() == null ? null
             : jar.getParent().getParent().getParent();
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/emulator/Lone.java
@@ -0,0 +1,99 @@
+package holdproxy.lab.emulator;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** One proxy as a process, before nodes that somebody else has; its discovery never answers. */
+public final class Lone implements AutoCloseable {
+    private static final long READY_MS = 30_000;
+    private final Process process;
+    private final InetSocketAddress listen;
+
+    /** Waits until it serves. IOException with what it said where it does not. */
+    public Lone(SiteModel model, Reality.Program program, List<InetSocketAddress> nodes)
+            throws IOException, InterruptedException {
+        Files.createDirectories(program.folder());
+        Site site = new Blueprint(model, 1).site;
+        List<NodeEntry> known = new ArrayList<>();
+        for (int i = 0; i < nodes.size(); i++) {
+            known.add(site.entry(i, nodes.get(i)));
+        }
+        try (ServerSocket free = new ServerSocket()) {
+            free.bind(NodeEntry.address("127.0.4.1:0"));
+            listen = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        InetSocketAddress nobody = NodeEntry.address("127.0.0.1:1");
+        Path file = program.folder().resolve("alone.json");
+        Path log = program.folder().resolve("alone.log");
+        Files.writeString(file, site.config(0, 1, listen, nobody, 1, 1, known));
+        ProcessBuilder b = new ProcessBuilder(program.command()).redirectErrorStream(true).redirectOutput(log.toFile());
+        b.environment().putAll(Site.env(0, listen, nobody, file.toString()));
+        process = b.start();
+        long limit = System.nanoTime() + READY_MS * 1_000_000;
+        while (!greets()) {
+            if (!process.isAlive() || System.nanoTime() > limit) {
+                process.destroyForcibly();
+                throw new IOException("the proxy did not get ready: "
+                    + String.join(" / ", Files.readAllLines(log).stream().limit(3).toList()));
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    private boolean greets() {
+        try (Socket s = new Socket(listen.getAddress(), listen.getPort())) {
+            s.setSoTimeout(3_000);
+            s.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
+            return s.getInputStream().read() == 'M';
+        } catch (IOException e) {
+            return false; // not there yet
+        }
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return listen;
+    }
+
+    /** Processor time that it has taken, in ms; 0 where the system does not tell. */
+    public long cpuMs() {
+        return process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+    }
+
+    /** Memory that it has, in MB; empty where the system does not tell. */
+    public Optional<Long> memoryMb() {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(l -> l.startsWith("VmRSS:")).map(l -> Long.parseLong(l.replaceAll("[^0-9]", "")) / 1024).findFirst();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Whether it has ended by itself. */
+    public boolean dead() {
+        return !process.isAlive();
+    }
+
+    @Override
+    public void close() {
+        process.destroy();
+        try {
+            if (!process.waitFor(5, TimeUnit.SECONDS)) {
+                process.destroyForcibly().waitFor();
+            }
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/lab/src/main/java/holdproxy/lab/experiment/Builds.java
+++ b/lab/src/main/java/holdproxy/lab/experiment/Builds.java
@@ -157,13 +157,19 @@
     }
 
     private Player processes(String digest, List<String> program) {
+        List<String> command = serve(program);
+        return player("processes " + digest, (v, seed) -> Reality.play(v.site(), v.troubles(), seed,
+            new Reality.Program(command, folder.resolve("logs").resolve(v.name() + "-" + seed).toAbsolutePath())));
+    }
+
+    /** The process of a proxy, with the flags that it is deployed with; {@code program}: -jar or -cp, and what follows. */
+    public static List<String> serve(List<String> program) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
         command.addAll(program);
         command.add("serve");
-        return player("processes " + digest, (v, seed) -> Reality.play(v.site(), v.troubles(), seed,
-            new Reality.Program(command, folder.resolve("logs").resolve(v.name() + "-" + seed).toAbsolutePath())));
+        return command;
     }
 
     private static String classPath() {
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -48,6 +48,7 @@
     private static final long LATE_TOLD_US = 50_000;
     /** Of work in a turn, as {@link ClientSession} counts it: four requests, or sixteen greetings. */
     private static final double TURN = 16;
+    private static final int TURNS_AT_ONCE = 3;
     /** Less is the usual jitter of timers. */
     private static final long LATE_LEAST_US = 5_000;
     private static final double LATE_LEARN = 1.0 / 64;
@@ -363,11 +364,16 @@
         }
     }
 
+    /** A few turns, then the sockets again: whoever has asked for little meanwhile does not wait for a round. */
     private void round() {
         roundDue = false; // first: who is not through with its turn asks for the next
-        for (int left = turns.waiting(); left > 0; left--) {
+        for (int left = Math.min(TURNS_AT_ONCE, turns.waiting()); left > 0; left--) {
             turns.next().resume();
         }
+        if (turns.waiting() > 0 && !roundDue) {
+            roundDue = true;
+            after(0, this::round);
+        }
     }
 
     void idle(ClientSession s) {
