--- a/lab/src/main/java/holdproxy/lab/cli/Main.java
+++ b/lab/src/main/java/holdproxy/lab/cli/Main.java
@@ -1,5 +1,13 @@
 package holdproxy.lab.cli;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -9,6 +17,7 @@
  */
 @Command(name = "hatchlab", mixinStandardHelpOptions = true, version = "hatchlab 0.1.0",
     description = "Tries sites, settings and troubles before anybody rolls them out.",
+    footer = "With --log-json its log is one JSON object a line.",
     subcommands = {Run.class, Check.class, Replay.class, Shrinks.class,
         Compare.class, LoadCommand.class, AttackCommand.class})
 public final class Main implements Runnable {
@@ -23,7 +32,27 @@
 
     public static void main(String[] args) {
         System.setProperty("java.awt.headless", "true");
-        System.exit(line().execute(args));
+        List<String> all = new ArrayList<>(List.of(args));
+        if (all.remove("--log-json")) {
+            logAsJson();
+        }
+        System.exit(line().execute(all.toArray(new String[0])));
+    }
+
+    /** One JSON object a line on standard error, for collectors. */
+    private static void logAsJson() {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        JsonEncoder json = new JsonEncoder();
+        json.setContext(context);
+        json.start();
+        ConsoleAppender<ILoggingEvent> err = new ConsoleAppender<>();
+        err.setContext(context);
+        err.setTarget("System.err");
+        err.setEncoder(json);
+        err.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.detachAndStopAllAppenders();
+        root.addAppender(err);
     }
 
     static CommandLine line() {
--- a/lab/src/main/java/holdproxy/lab/experiment/Results.java
+++ b/lab/src/main/java/holdproxy/lab/experiment/Results.java
@@ -1,5 +1,6 @@
 package holdproxy.lab.experiment;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import holdproxy.lab.emulator.Outcome;
 import holdproxy.lab.stats.Difference;
 import java.util.ArrayList;
@@ -41,6 +42,11 @@
             figure.hashCode());
     }
 
+    /** All of it, with the series: {@code experiment}, {@code build}, and {@code outcomes} by variant. */
+    public String json() throws JsonProcessingException {
+        return ExperimentFile.mapper().writerWithDefaultPrettyPrinter().writeValueAsString(this);
+    }
+
     /** Rules that were broken and faults, with variant and seed. */
     public List<String> broken() {
         List<String> all = new ArrayList<>();
--- a/lab/src/main/java/holdproxy/lab/report/Report.java
+++ b/lab/src/main/java/holdproxy/lab/report/Report.java
@@ -36,12 +36,13 @@
         };
     }
 
-    /** Writes {@code report.html} and {@code figures.csv} into this folder. */
+    /** Writes {@code report.html}, {@code figures.csv} and {@code results.json} into this folder. */
     public static Path write(Results r, Path folder) throws IOException {
         Files.createDirectories(folder);
         Path html = folder.resolve("report.html");
         Files.writeString(html, html(r));
         Files.writeString(folder.resolve("figures.csv"), csv(r));
+        Files.writeString(folder.resolve("results.json"), r.json());
         return html;
     }
 
--- a/lab/src/test/java/holdproxy/lab/cli/RunKillTest.java
+++ b/lab/src/test/java/holdproxy/lab/cli/RunKillTest.java
@@ -81,6 +81,38 @@
         assertTrue(html.contains("&lt;b&gt; &amp; more") && html.contains("<svg") && !html.contains("http-equiv"), html);
     }
 
+    /**
+     * Danger: a full disk, and what was played before is lost or half an outcome kept. No disk of its own may be mounted
+     * here: the kernel is told that no file of the process may grow further, which it says in the same place.
+     */
+    @Test
+    void aDiskThatIsFullEndsItAndWhatIsThereIsGoneOnWith() throws Exception {
+        Path file = folder.resolve("x.yaml");
+        Files.writeString(file, "version: 1\nname: x\nseeds: {count: 12}\n" + SITE);
+        Path out = folder.resolve("full");
+        String[] call = {"run", file.toString(), "--out", out.toString(), "--threads", "1", "--log-json"};
+        Process p = tool(call);
+        StringBuilder seen = new StringBuilder();
+        try (BufferedReader said = new BufferedReader(new InputStreamReader(p.getInputStream(),
+                StandardCharsets.UTF_8))) {
+            for (int c = said.read(); c >= 0; c = said.read()) {
+                seen.append((char) c);
+                if (seen.toString().endsWith("2 of 12 plays")) {
+                    assertEquals(0, new ProcessBuilder("prlimit", "--pid", Long.toString(p.pid()), "--fsize=1024:1024")
+                        .start().waitFor());
+                }
+            }
+        }
+        assertEquals(3, p.waitFor(), seen.toString());
+        assertTrue(seen.indexOf("results cannot be kept: ") >= 0, seen.toString());
+        int before = kept(out);
+        assertTrue(before >= 2 && before < 12, before + " were kept");
+        run(0, call);
+        assertEquals(12, kept(out));
+        String json = Files.readString(out.resolve("results.json"));
+        assertTrue(json.startsWith("{") && json.contains("\"figures\"") && json.contains("\"question\""), "no results as JSON");
+    }
+
     /** Danger: results of a later form read as if they were of this one. */
     @Test
     void resultsOfANewerFormAreRefusedAndLeftAlone() throws Exception {
--- a/proxy/src/test/java/holdproxy/net/NobodyHarmsTest.java
+++ b/proxy/src/test/java/holdproxy/net/NobodyHarmsTest.java
@@ -172,6 +172,48 @@
         }
     }
 
+    /** Danger: after a restart all come back at once, and those who were let in are pushed out by those who follow. */
+    @Test
+    void manyThatComeAtOnceAreServedAndSoIsTheOneBesideAPipeline() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Arrivals at = new Arrivals(f);
+            List<Peer> all = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                Peer p = f.client();
+                p.send("mn\r\n");
+                all.add(p);
+            }
+            for (Peer p : all) {
+                p.expect("MN");
+            }
+            // one honest client with 100 reads in one piece, and one that does the same for ever
+            Peer hostile = f.client();
+            Peer honest = f.client();
+            StringBuilder many = new StringBuilder();
+            for (int i = 0; i < 1_000; i++) {
+                many.append("mn\r\nmg x\r\n".repeat(i % 5 == 0 ? 1 : 0)).append("mn\r\n".repeat(20));
+            }
+            hostile.send(many.toString());
+            StringBuilder own = new StringBuilder();
+            for (int i = 0; i < 100; i++) {
+                own.append(Fixture.read("h" + i, 4000));
+            }
+            honest.send(own.toString());
+            int answered = 0;
+            while (answered < 100) {
+                Peer node = at.nextOr(honest);
+                if (node != honest) {
+                    String id = Arrivals.command(node);
+                    node.send("VA 1 " + id + "\r\n1\r\n");
+                    continue;
+                }
+                String line = honest.line();
+                assertEquals("VA 1 Oh" + answered++, line);
+                honest.expect("1");
+            }
+        }
+    }
+
     /** Danger: half a second after the last answer was written the connection was closed, whatever of it was taken. */
     @Test
     void whoTakesItsAnswersSteadilyGetsAllOfThem() throws Exception {
