--- a/proxy/src/main/java/holdproxy/limits/Blame.java
+++ b/proxy/src/main/java/holdproxy/limits/Blame.java
@@ -6,8 +6,8 @@
  */
 public final class Blame {
     /**
-     * A client that waits for less than this part of the aim has not waited long enough to say anything. At 0.2
-     * the last tries of honest clients went unheard, and the simulated days lost 0.019 in the mean.
+     * A client that waits for less than this part of the aim has not waited long enough to say anything. At
+     * 0.2 the last tries of honest clients went unheard, and the simulated days lost 0.019 in the mean.
      */
     public static final double HASTE = 0.05;
     /** Late for more than one part in so many of an attempt's time, the loop is what took that time. */
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -364,7 +364,10 @@
         }
     }
 
-    /** A few turns, then the sockets again: whoever has asked for little meanwhile does not wait for a round. */
+    /**
+     * A few turns, then the sockets again: whoever has asked for little meanwhile does not wait for a
+     * round.
+     */
     private void round() {
         roundDue = false; // first: who is not through with its turn asks for the next
         for (int left = Math.min(TURNS_AT_ONCE, turns.waiting()); left > 0; left--) {
