Nodes of the engine of processes know who comes through the relay

Cause: the figure of attempts across zones was always 0 there: on real sockets a machine has no name.

--- a/lab/src/main/java/holdproxy/lab/emulator/RealLink.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/RealLink.java
@@ -36,6 +36,12 @@
         this.handler = handler;
     }
 
+    /** Its address: on real sockets a machine has no name. */
+    @Override
+    public String peer() {
+        return channel.remoteAddress() instanceof InetSocketAddress far ? NodeEntry.text(far) : "";
+    }
+
     @Override
     public long id() {
         return id;
--- a/lab/src/main/java/holdproxy/lab/emulator/Reality.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/Reality.java
@@ -174,6 +174,7 @@
         ScriptedNode n = new ScriptedNode(net, site.entry(i, at(2), on.kind(), on.weight()), site.model(on.speed()),
             new ScriptedNode.Shared(origin, memories), Draw.hash("node " + i, seed));
         plan.furnish(n);
+        n.far = relay::brings;
         nodes.add(n);
         return n;
     }
--- a/lab/src/main/java/holdproxy/lab/emulator/Relay.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/Relay.java
@@ -19,6 +19,8 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -37,6 +39,8 @@
     private final EventLoop loop = group.next();
     private final long delayNs;
     private final Map<String, Way> ways = new HashMap<>();
+    /** Its own ends of connections to nodes, which these see as their clients. */
+    private final Set<String> ends = ConcurrentHashMap.newKeySet();
 
     /** From one zone to another. */
     private static final class Way {
@@ -73,6 +77,9 @@
                 }
             }).connect(to).addListener((ChannelFutureListener) f -> {
                 if (f.isSuccess()) {
+                    String end = NodeEntry.text((InetSocketAddress) f.channel().localAddress());
+                    ends.add(end); // before the first byte goes on
+                    f.channel().closeFuture().addListener(g -> ends.remove(end));
                     near.read();
                     f.channel().read();
                 } else {
@@ -90,6 +97,11 @@
         return ways.computeIfAbsent(from + " " + to, x -> new Way());
     }
 
+    /** From any thread: whether whoever is at this address comes from another zone. */
+    boolean brings(String address) {
+        return ends.contains(address);
+    }
+
     /** From any thread: from now on nothing gets from the one zone to the other, or what was held comes. */
     void closed(String from, String to, boolean now) {
         loop.execute(() -> {
