A client that never stops sending is not taken for one that has waited ever since

Cause: while the first half of a command was left in the decoder, the time since bytes were first held went on counting, and requests of a steady pipeline were refused as too late. Change: it is forgotten once what was held has been read. Measured: a scenario that sends pieces of a turn and more for 0.9 s; it fails without.

--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -269,8 +269,8 @@
             dirty = false;
             channel.flush();
         }
-        if (!behind && !decoder.holds()) {
-            heldUs = 0;
+        if (!behind) {
+            heldUs = 0; // a command's first half may be left: the rest of it has not come yet
         }
         throttle();
         boolean reading = !unread && channel.config().isAutoRead(); // else what is missing may be with us
--- a/proxy/src/test/java/holdproxy/net/NobodyHarmsTest.java
+++ b/proxy/src/test/java/holdproxy/net/NobodyHarmsTest.java
@@ -214,6 +214,36 @@
         }
     }
 
+    /** Danger: one that never stops sending has each wait of its bytes added up, until all it asks is refused as too late. */
+    @Test
+    void aStreamOfCommandsIsNotTakenForOneThatHasWaitedEverSince() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Arrivals at = new Arrivals(f);
+            Peer client = f.client();
+            String greetings = "mn\r\n".repeat(40); // more than a turn
+            long end = System.nanoTime() + 900_000_000L;
+            int sent = 0;
+            client.send(greetings + "m");
+            while (System.nanoTime() < end) {
+                for (int i = 0; i < 40; i++) {
+                    client.expect("MN");
+                }
+                client.send("n\r\n" + greetings + "m");
+                client.expect("MN");
+                sent++;
+            }
+            for (int i = 0; i < 40; i++) {
+                client.expect("MN");
+            }
+            client.send("g" + Fixture.read("last", 400).substring(2));
+            Peer node = at.nextOr(client);
+            assertTrue(node != client, "after " + sent + " pieces: " + (node == client ? client.line() : ""));
+            assertEquals("Olast", Arrivals.command(node));
+            node.send("VA 1 Olast\r\n1\r\n");
+            client.expect("VA 1 Olast", "1");
+        }
+    }
+
     /** Danger: half a second after the last answer was written the connection was closed, whatever of it was taken. */
     @Test
     void whoTakesItsAnswersSteadilyGetsAllOfThem() throws Exception {
