--- a/proxy/src/test/java/holdproxy/net/NobodyHarmsTest.java
+++ b/proxy/src/test/java/holdproxy/net/NobodyHarmsTest.java
@@ -133,6 +133,24 @@
         }
     }
 
+    /** Danger: a read of 400 requests is decoded whole, past the bound on what may wait. */
+    @Test
+    void noMoreIsTakenUpThanMayWait() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 400; i++) {
+                all.append(Fixture.read("p" + i, 4000));
+            }
+            client.send(all.toString());
+            while (f.nodes.get(0).count() < 128) {
+                Thread.onSpinWait();
+            }
+            long open = f.loop.submit(() -> f.proxy.held().get("requests")).get();
+            assertTrue(open <= 128, open + " are open at once");
+        }
+    }
+
     /** Danger: what is decoded past the bound holds descriptors, and nodes are blamed for their want. */
     @Test
     void aLongPipelineIsAnsweredInOrderAndShortageBlamesNobody() throws Exception {
