After a pause what is overdue is answered first; the log tells of what lies unsent or unread

Cause: a loop that has stood still reads all that came meanwhile before its timers run, and holds the module's events until lists are read (Proxy.event, Proxy.overdue). A request whose time ended in the pause had its answer only then; half a second late counts as lost. Change: the first event after a pause of over 50 ms fails what the module knows of and is over by 15 ms, once for a pause.

--- a/proxy/src/main/java/holdproxy/net/Admission.java
+++ b/proxy/src/main/java/holdproxy/net/Admission.java
@@ -176,6 +176,11 @@
         proxy.after(SWEEP_US, this::sweep); // first: a fault below must not be the last sweep
         trim();
         long now = proxy.now();
+        int stuck = 0;
+        for (ClientSession s : all) {
+            stuck += s.stuck(now) ? 1 : 0;
+        }
+        proxy.stuck(stuck);
         for (ClientSession s; (s = first(halfSaid)) != null && now - s.halfSaidUs > HALF_SAID_US;) {
             halfSaid.remove(s);
             s.fail("CLIENT_ERROR the command does not end");
--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -30,6 +30,7 @@
     private static final double REQUEST_COST = 4;
     private static final double COST_BYTES = 4 << 10;
     private static final int PAUSE_MS = 500;
+    private static final long STUCK_US = 100_000;
 
     /** A request's place in the order of answers. */
     static final class Slot {
@@ -132,6 +133,14 @@
         }
     }
 
+    /**
+     * Whether something lies with us that nobody is about to move: an answer not handed to the kernel, or commands that
+     * were read and have waited for their turn for too long. Asked between two reads.
+     */
+    boolean stuck(long now) {
+        return dirty || behind && !paused && heldUs != 0 && now - heldUs > STUCK_US && slots.size() < MOST_WAITING;
+    }
+
     /** How long what is read now may have waited with us. */
     long heldUs(long now) {
         return heldUs == 0 ? 0 : now - heldUs;
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -93,6 +94,8 @@
     private long firstTickUs;
     private long tickBeforeUs;
     private long lastTickUs;
+    /** The tick after whose pause what was overdue has been answered. */
+    private long sweptUs = -1;
     private long lastLateUs;
     private long longestLateUs;
     private long lateSumUs;
@@ -256,6 +259,7 @@
      * meanwhile has been read: a list among it may have told long ago that a node drains.
      */
     private void event(Runnable call) {
+        overdueFirst();
         if (held.isEmpty() && stoodStillUs(now()) <= holdAfterUs) {
             deliver(call);
             return;
@@ -423,6 +427,7 @@
             if (x.answered) {
                 return; // its client left while the event was held
             }
+            x.told = true;
             c.fill(request);
             request.id = x.id;
             request.dueUs = x.dueUs;
@@ -431,6 +436,32 @@
         return x;
     }
 
+    /**
+     * After the loop has stood still, whoever's time is over has its answer before the rest of what came meanwhile is
+     * read. Danger: a pause brings a burst; read first, with a list held back behind it, it puts off answers that were
+     * already late by as much again, and one that comes half a second late counts as lost.
+     */
+    private void overdueFirst() {
+        long now = now();
+        if (lastTickUs == sweptUs || stoodStillUs(now) <= LATE_TOLD_US || inEvent) {
+            return;
+        }
+        sweptUs = lastTickUs;
+        List<Exchange> over = new ArrayList<>();
+        for (Exchange x : table.values()) {
+            if (!x.answered && x.told && now - x.dueUs >= OVERDUE_US) {
+                over.add(x);
+            }
+        }
+        if (!over.isEmpty()) {
+            log.line("the loop stood still: " + over.size() + " requests were over by then, failed first");
+            for (Exchange x : over) {
+                answerFailed(x);
+                event(() -> router.onAborted(now(), x.id, this));
+            }
+        }
+    }
+
     private void overdue(Exchange x) {
         if (!held.isEmpty()) {
             x.overdue = after(2 * HOLD_US, () -> overdue(x)); // the module has not heard of it yet
@@ -464,6 +495,13 @@
         }
     }
 
+    /** So many client connections have something lying with us. */
+    void stuck(int connections) {
+        if (connections > 0) {
+            log.line(connections + " client connections have had answers or commands lying here for over 0.1 s");
+        }
+    }
+
     String busy() {
         log.line("too much is open: refusing");
         Router.Settings s = config.settings;
