A core for state that all members hold: merges with a written rule, freshness without clocks

Need: an operator's order, a drain that was told, a tenant's level live in the process that took them and die with it; a member that was paused or cut off goes on by an old truth. Change: holdproxy.replica, free of I/O. Values with a merge each and the rule for copies that differ in its first comment: orders as a multi-value register (what was heard of is replaced, whatever clocks say; what was not contradicts and is shown), told states (a later start, then the safer), a member's own figures.

--- a/lab/src/main/java/holdproxy/lab/cli/Main.java
+++ b/lab/src/main/java/holdproxy/lab/cli/Main.java
@@ -19,7 +19,7 @@
     description = "Tries sites, settings and troubles before anybody rolls them out.",
     footer = "With --log-json its log is one JSON object a line.",
     subcommands = {Run.class, Check.class, Replay.class, Shrinks.class,
-        Compare.class, LoadCommand.class, AttackCommand.class})
+        Compare.class, LoadCommand.class, AttackCommand.class, ReplicaCommand.class})
 public final class Main implements Runnable {
     static final int BROKEN = 1;
     static final int USAGE = 2;
--- /dev/null
+++ b/lab/src/main/java/holdproxy/lab/replica/Disk.java
@@ -0,0 +1,44 @@
+package holdproxy.lab.replica;
+
+import holdproxy.replica.Orders;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A member's disk: what is on it, what is being written, and older copies of it to be put back. */
+final class Disk {
+    private final Map<String, Orders> on = new LinkedHashMap<>();
+    private final List<Map<String, Orders>> older = new ArrayList<>();
+    boolean full;
+
+    /** False: it could not be written. */
+    boolean write(String key, Orders orders) {
+        if (full) {
+            return false;
+        }
+        Orders was = on.get(key);
+        on.put(key, was == null ? orders : (Orders) was.merge(orders));
+        return true;
+    }
+
+    Map<String, Orders> read() {
+        return on;
+    }
+
+    void backUp() {
+        older.add(new LinkedHashMap<>(on));
+    }
+
+    /** As it was at the first back-up, or empty. */
+    void putBack() {
+        on.clear();
+        if (!older.isEmpty()) {
+            on.putAll(older.get(0));
+        }
+    }
+
+    void empty() {
+        on.clear();
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/holdproxy/replica/Cell.java
@@ -0,0 +1,40 @@
+package holdproxy.replica;
+
+/**
+ * One member's own figure: what it has sent to a cold node, how it sees a tenant's level, how much it suspects a node.
+ * Nobody else writes it, so copies differ in age only. The rule: the later life of the member goes before the earlier,
+ * within a life the later number, and with the same number (a member that was put back to an old disk says twice what
+ * it says once) the larger amount: spent over unspent.
+ *
+ * @param life the member's life, which grows with each start
+ * @param number grows within a life
+ * @param amount what it says
+ */
+public record Cell(long life, long number, double amount) implements Value {
+    public Cell {
+        if (Double.isNaN(amount)) {
+            throw new IllegalArgumentException("amount: not a number");
+        }
+    }
+
+    @Override
+    public Value merge(Value other) {
+        if (!(other instanceof Cell c)) {
+            throw new IllegalArgumentException("a cell and " + other.getClass().getSimpleName());
+        }
+        int order = Long.compare(life, c.life);
+        order = order == 0 ? Long.compare(number, c.number) : order;
+        order = order == 0 ? Double.compare(amount, c.amount) : order;
+        return order >= 0 ? this : c;
+    }
+
+    @Override
+    public long digest() {
+        return Value.mix(life ^ Value.mix(number ^ Value.mix(Double.doubleToLongBits(amount))));
+    }
+
+    @Override
+    public int bytes() {
+        return 20;
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/holdproxy/replica/Orders.java
@@ -0,0 +1,148 @@
+package holdproxy.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The orders on one subject that no later one replaces. The rule for copies that differ: an order replaces all that the
+ * member which took it had heard of, whatever their clocks say, so that a clock an hour ahead wins nothing for ever. Of
+ * orders that had not heard of one another all stay, shown as a contradiction; meanwhile the latest stamp counts, but
+ * that a wish goes before a clearing. What was heard of is a number for each life, as in a multi-value register with
+ * dotted version vectors (Preguica, Baquero, Almeida, Fonte, Goncalves: 2012).
+ */
+public final class Orders implements Value {
+    /**
+     * Lives that gave orders on one subject. Never forgotten, not even where all is cleared: an order that came back from
+     * a disk of last year would else count again.
+     */
+    static final int MOST_LIVES = 256;
+    /** Of a copy that comes from outside: two halves may each have reached the bound. */
+    private static final int MOST_LIVES_TAKEN = 4 * MOST_LIVES;
+    private static final int MOST_ORDERS = 4 * MOST_LIVES;
+
+    /** By number within a life, newest known; each order in {@link #standing} is one of these or older. */
+    private final SortedMap<Long, Long> heard;
+    private final List<Order> standing;
+
+    private Orders(SortedMap<Long, Long> heard, List<Order> standing) {
+        this.heard = heard;
+        this.standing = standing;
+    }
+
+    /** As it comes from outside. IllegalArgumentException names what is wrong. */
+    public static Orders of(Map<Long, Long> heard, List<Order> standing) {
+        if (heard.size() > MOST_LIVES_TAKEN || standing.size() > MOST_ORDERS) {
+            throw new IllegalArgumentException("orders: " + standing.size() + " of " + heard.size()
+                + " lives, over " + MOST_ORDERS + " or " + MOST_LIVES_TAKEN);
+        }
+        List<Order> sorted = new ArrayList<>(standing);
+        sorted.sort(Order::compare);
+        for (Order o : sorted) {
+            if (heard.getOrDefault(o.life(), 0L) < o.number()) {
+                throw new IllegalArgumentException("orders: one of life " + o.life() + " that was not heard of");
+            }
+        }
+        return new Orders(new TreeMap<>(heard), List.copyOf(sorted));
+    }
+
+    /**
+     * What stands after this order, given where {@code before} (or nothing, null) was known. IllegalArgumentException
+     * where the subject has had too many.
+     */
+    static Orders given(Orders before, Order order) {
+        SortedMap<Long, Long> heard = before == null ? new TreeMap<>() : new TreeMap<>(before.heard);
+        heard.merge(order.life(), order.number(), Math::max);
+        if (heard.size() > MOST_LIVES) {
+            throw new IllegalArgumentException("subject: has had orders of " + MOST_LIVES + " lives, use another name");
+        }
+        return new Orders(heard, List.of(order));
+    }
+
+    @Override
+    public Value merge(Value other) {
+        if (!(other instanceof Orders o)) {
+            throw new IllegalArgumentException("orders and " + other.getClass().getSimpleName());
+        }
+        SortedMap<Long, Long> all = new TreeMap<>(heard);
+        o.heard.forEach((life, number) -> all.merge(life, number, Math::max));
+        List<Order> left = new ArrayList<>();
+        for (Order mine : standing) {
+            if (o.standing.contains(mine) || !o.knows(mine)) {
+                left.add(mine);
+            }
+        }
+        for (Order theirs : o.standing) {
+            if (!knows(theirs)) {
+                left.add(theirs);
+            }
+        }
+        left.sort(Order::compare);
+        return new Orders(all, List.copyOf(left));
+    }
+
+    boolean knows(Order order) {
+        return heard.getOrDefault(order.life(), 0L) >= order.number();
+    }
+
+    public Map<Long, Long> heard() {
+        return heard;
+    }
+
+    /** Oldest stamp first. */
+    public List<Order> standing() {
+        return standing;
+    }
+
+    /** What counts now; null where nothing is wanted. */
+    public Order counts() {
+        Order last = null;
+        for (Order o : standing) {
+            last = o.clears() ? last : o;
+        }
+        return last;
+    }
+
+    /** Whether orders stand that had not heard of one another and want different things. */
+    public boolean contradict() {
+        return standing.stream().map(Order::verb).distinct().count() > 1;
+    }
+
+    @Override
+    public long digest() {
+        long d = 1;
+        for (Order o : standing) {
+            d += o.digest();
+        }
+        for (Map.Entry<Long, Long> e : heard.entrySet()) {
+            d += Value.mix(e.getKey() ^ Value.mix(e.getValue() + 7));
+        }
+        return Value.mix(d);
+    }
+
+    @Override
+    public int bytes() {
+        int n = 16 * heard.size();
+        for (Order o : standing) {
+            n += 28 + o.verb().length() + o.who().length() + o.why().length();
+        }
+        return n;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Orders o && heard.equals(o.heard) && standing.equals(o.standing);
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(digest());
+    }
+
+    @Override
+    public String toString() {
+        return standing + " of " + heard;
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/holdproxy/replica/Value.java
@@ -0,0 +1,31 @@
+package holdproxy.replica;
+
+/**
+ * What is held under one key. Its merge is commutative, associative and idempotent, so that copies that have heard the
+ * same, in whatever order and however often, are equal. Values do not change.
+ */
+public sealed interface Value permits Told, Cell, Orders {
+    /** The join of both. IllegalArgumentException where they are of different kinds. */
+    Value merge(Value other);
+
+    /** Equal values have equal ones, on every machine; ages are no part of it. */
+    long digest();
+
+    /** About how many bytes it takes on the wire. */
+    int bytes();
+
+    /** FNV-1a with a finisher (MurmurHash3's): small differences must reach all bits, since digests are added up. */
+    static long hash(long seed, String text) {
+        long h = 0xcbf29ce484222325L ^ seed;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return mix(h);
+    }
+
+    static long mix(long h) {
+        h = (h ^ h >>> 33) * 0xff51afd7ed558ccdL;
+        h = (h ^ h >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return h ^ h >>> 33;
+    }
+}
