hatchlab replica: a model checker, schedules of faults, scale, and members as processes behind doors

Need: what is replicated must hold for every order of messages, losses, repeats, disk writes and deaths, and between real processes while ways are cut. Change: Explorer goes through all orders of events of three members to a depth, with states hashed; Schedules plays 3 to 12 members under faults drawn from a seed (cuts in one direction, rings, halves, held-back messages, stops, kills, disks emptied, put back or full, clocks an hour off); Scale measures up to 1,000; Doors are relays on real sockets for each pair and direction that know whole frames; Members and MemberSchedule do the same to processes with SIGKILL, SIGSTOP and damaged disks.

--- a/lab/src/main/java/holdproxy/lab/cli/ReplicaCommand.java
+++ b/lab/src/main/java/holdproxy/lab/cli/ReplicaCommand.java
@@ -1,12 +1,17 @@
 package holdproxy.lab.cli;
 
 import holdproxy.lab.replica.Explorer;
+import holdproxy.lab.replica.MemberSchedule;
 import holdproxy.lab.replica.Scale;
 import holdproxy.lab.replica.Schedules;
 import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -79,6 +84,41 @@
         return p.wrong().isEmpty() ? 0 : Main.BROKEN;
     }
 
+    @Command(description = "Plays schedules of faults among members that are processes, with doors between them.", mixinStandardHelpOptions = true)
+    int processes(@Option(names = "--seeds", defaultValue = "20", description = "how many (${DEFAULT-VALUE})") int seeds,
+            @Option(names = "--from", defaultValue = "1", description = "the first seed (${DEFAULT-VALUE})") long from,
+            @Option(names = "--members", defaultValue = "5", description = "from 3 to 12 (${DEFAULT-VALUE})") int members,
+            @Option(names = "--jar", paramLabel = "FILE", defaultValue = "fleet/target/hatchctl.jar", description = "(${DEFAULT-VALUE})") Path jar,
+            @Option(names = "--log", description = "says what was done in each") boolean log) throws Exception {
+        if (members < 3 || members > 12) {
+            throw new ParameterException(spec.commandLine(), "--members: from 3 to 12, not " + members);
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        int broken = 0;
+        for (long seed = from; seed < from + seeds; seed++) {
+            Path root = Files.createTempDirectory("members");
+            MemberSchedule.Played p = MemberSchedule.play(seed, members, jar, root);
+            out.printf(Locale.ROOT, "seed %d: %s, %d of %d orders acknowledged, equal after %d ms, frames %d passed %d lost%n", seed,
+                p.wrong().isEmpty() ? "kept" : "BROKEN", p.acknowledged(), p.given(), p.equalAfterMs(), p.passed(), p.swallowed());
+            if (log || !p.wrong().isEmpty()) {
+                p.told().forEach(out::println);
+                p.wrong().forEach(w -> out.println("wrong: " + w));
+                out.println("folders: " + root);
+            } else {
+                try (Stream<Path> all = Files.walk(root)) {
+                    for (Path f : all.sorted(Comparator.reverseOrder()).toList()) {
+                        Files.deleteIfExists(f);
+                    }
+                }
+            }
+            out.flush();
+            broken += p.wrong().isEmpty() ? 0 : 1;
+        }
+        out.printf(Locale.ROOT, "%d schedules, %d broken%n", seeds, broken);
+        out.flush();
+        return broken == 0 ? 0 : Main.BROKEN;
+    }
+
     @Command(description = "Time until all know and bytes a second, by the number of members.", mixinStandardHelpOptions = true)
     int scale(@Option(names = "--members", split = ",", defaultValue = "4,26,200,1000", paramLabel = "N") List<Integer> members,
             @Option(names = "--restarts", defaultValue = "0.1", description = "part of them that restarts in a minute (${DEFAULT-VALUE})") double restarts,
--- a/lab/src/main/java/holdproxy/lab/replica/Schedules.java
+++ b/lab/src/main/java/holdproxy/lab/replica/Schedules.java
@@ -106,8 +106,20 @@
 
     private String states() {
         StringBuilder s = new StringBuilder();
+        java.util.Set<String> all = new java.util.TreeSet<>();
         for (int i = 0; i < members; i++) {
-            s.append(" m").append(i).append(' ').append(cluster.member(i).status(cluster.now()));
+            Replica r = cluster.member(i);
+            s.append(" m").append(i).append(' ').append(r.state());
+            r.each((key, value) -> all.add(key));
+        }
+        for (String key : all) {
+            Value first = cluster.member(0).get(key);
+            for (int i = 1; i < members; i++) {
+                Value v = cluster.member(i).get(key);
+                if (!java.util.Objects.equals(first, v)) {
+                    s.append("; ").append(key).append(": m0 ").append(first).append(", m").append(i).append(' ').append(v);
+                }
+            }
         }
         return s.toString();
     }
--- /dev/null
+++ b/lab/src/test/java/holdproxy/lab/replica/ReplicaTest.java
@@ -0,0 +1,192 @@
+package holdproxy.lab.replica;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.replica.Kind;
+import holdproxy.replica.Orders;
+import holdproxy.replica.Replica;
+import holdproxy.replica.Settings;
+import holdproxy.replica.Told;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** The hard cases among members in simulated time, each by name; then all orders of events, and schedules by seed. */
+class ReplicaTest {
+    private static final Settings U = Settings.USUAL;
+
+    private static Cluster together(int members) {
+        Cluster c = new Cluster(members, U, 1);
+        assertTrue(c.until(20_000, c::equal), "they come together");
+        return c;
+    }
+
+    private static void halves(Cluster c, boolean cut) {
+        for (int i = 0; i < c.members(); i++) {
+            for (int j = 0; j < c.members(); j++) {
+                c.network.cut("m" + i, "m" + j, cut && i % 2 != j % 2);
+            }
+        }
+    }
+
+    private static void heals(Cluster c) {
+        assertTrue(c.until(c.now() + Schedules.EQUAL_WITHIN_MS, c::equal), "equal again");
+    }
+
+    @Test
+    void twoHalvesThatEachTakeOrdersHealAndShowWhatContradicts() {
+        Cluster c = together(6);
+        halves(c, true);
+        Cluster.Given drain = c.order(0, "n1", "drain");
+        Cluster.Given close = c.order(1, "n1", "close");
+        c.run(5_000);
+        assertTrue(drain.acknowledged && close.acknowledged);
+        halves(c, false);
+        heals(c);
+        for (int i = 0; i < 6; i++) {
+            Orders o = (Orders) c.member(i).get("order/n1");
+            assertTrue(o.contradict() && o.standing().size() == 2, "m" + i + " has " + o);
+        }
+    }
+
+    /** Danger: both halves go on hearing one another, so neither takes itself for one that was away. */
+    @Test
+    void whatOneHalfRemovedAndForgotDoesNotComeBackFromTheOther() {
+        Cluster c = together(4);
+        for (int i = 0; i < 4; i++) {
+            c.member(i).told("s-1", new Told(5, Told.State.SERVING), c.now());
+        }
+        c.run(2_000);
+        halves(c, true);
+        c.member(0).told("s-1", new Told(5, Told.State.GONE), c.now());
+        c.run(150_000); // longer than a removal is remembered
+        halves(c, false);
+        c.run(5_000);
+        for (int i = 0; i < 4; i++) {
+            assertTrue(!(c.member(i).get("node/s-1") instanceof Told t) || t.state() == Told.State.GONE, "m" + i + " " + c.member(i).get("node/s-1"));
+        }
+    }
+
+    @Test
+    void aMessageThatWasHeldBackForLongerThanRemovalsAreRememberedIsNotTaken() {
+        Cluster c = together(3);
+        c.member(0).told("s-1", new Told(5, Told.State.SERVING), c.now());
+        c.network.held("m0", "m1", true, c.now());
+        c.network.held("m0", "m2", true, c.now());
+        c.run(1_000);
+        c.kill(0);
+        c.run(150_000);
+        c.network.heal(c.now());
+        c.run(1_000);
+        assertEquals(null, c.member(1).get("node/s-1"));
+        assertTrue(c.member(1).status(c.now()).late() + c.member(2).status(c.now()).late() > 0, "they did come");
+    }
+
+    @Test
+    void oneThatWasStoppedTakesACopyBeforeItSaysAnything() {
+        Cluster c = together(4);
+        c.stop(0, 130_000);
+        c.run(131_000);
+        assertTrue(c.until(c.now() + 20_000, () -> c.member(0).state() == Replica.State.CURRENT));
+        assertTrue(c.member(0).status(c.now()).sinceMs() > 100_000, "it was behind meanwhile");
+    }
+
+    @Test
+    void anOrderIsNotAcknowledgedWithoutAnotherDisk() {
+        Cluster c = together(3);
+        c.disk(1).full = true;
+        c.disk(2).full = true;
+        Cluster.Given g = c.order(0, "n1", "drain");
+        c.run(11_000);
+        assertTrue(g.refused && !g.acknowledged && g.disks == 1, "on " + g.disks);
+    }
+
+    /** And one disk of those that acknowledged is lost with its member's memory. */
+    @Test
+    void acknowledgedItOutlivesADeathAndADisk() {
+        Cluster c = together(3);
+        Cluster.Given g = c.order(0, "n1", "drain");
+        assertTrue(c.until(c.now() + 5_000, () -> g.acknowledged));
+        for (int i = 0; i < 3; i++) {
+            c.kill(i);
+        }
+        c.disk(0).empty();
+        for (int i = 0; i < 3; i++) {
+            c.start(i);
+        }
+        heals(c);
+        for (int i = 0; i < 3; i++) {
+            assertNotNull(c.member(i).get("order/n1"), "m" + i);
+        }
+    }
+
+    @Test
+    void aRingOfWaysCarriesOrdersAllTheWayRound() {
+        Cluster c = together(3);
+        for (int i = 0; i < 3; i++) {
+            c.network.cut("m" + (i + 1) % 3, "m" + i, true);
+        }
+        c.order(0, "n1", "drain");
+        assertTrue(c.until(c.now() + 30_000, () -> c.member(2).get("order/n1") != null), "m2 hears of it by m1 alone");
+    }
+
+    @Test
+    void withNobodyToAskItServesAfterAStatedTime() {
+        Cluster c = new Cluster(2, U, 3);
+        c.kill(1);
+        assertTrue(c.until(U.aloneMs() + 2_000, () -> c.member(0).state() == Replica.State.ALONE), "" + c.member(0).state());
+    }
+
+    /** A giver that dies halfway, and a state a hundred times the usual. */
+    @Test
+    void aLargeCopyIsTakenFromAnotherWhereItsGiverDies() {
+        Cluster c = together(4);
+        for (int i = 0; i < 4; i++) {
+            for (int n = 0; n < 4_000; n++) {
+                c.member(i).told("s-" + n, new Told(1, Told.State.SERVING), c.now());
+            }
+        }
+        c.kill(0);
+        c.start(0);
+        assertTrue(c.until(c.now() + 4_000, () -> c.member(0).status(c.now()).giver() != null && c.member(0).status(c.now()).entries() > 100));
+        c.kill(Integer.parseInt(c.member(0).status(c.now()).giver().substring(1)));
+        assertTrue(c.until(c.now() + 40_000, () -> c.member(0).state() == Replica.State.CURRENT), "" + c.member(0).status(c.now()));
+        assertEquals(4_000, c.member(0).status(c.now()).entries());
+    }
+
+    @Test
+    void sumsAreOfAllMembersAndFade() {
+        Cluster c = together(5);
+        for (int i = 0; i < 5; i++) {
+            c.member(i).says(Kind.SENT, "s-1@5", 3, c.now());
+        }
+        assertTrue(c.until(c.now() + 5_000, () -> c.member(4).sum(Kind.SENT, "s-1@5", c.now()) == 15));
+        c.run(61_000);
+        assertEquals(0, c.member(4).sum(Kind.SENT, "s-1@5", c.now()));
+    }
+
+    @Test
+    void bytesASecondDoNotGrowWithTheMembers() {
+        Scale.Row few = Scale.of(26, 0.1, 2_000, 1);
+        Scale.Row many = Scale.of(104, 0.1, 2_000, 1);
+        assertTrue(many.busiestPerS() < 1.25 * U.bytesPerS() && few.busiestPerS() < 1.25 * U.bytesPerS(), few + " " + many);
+        assertTrue(many.unknown() < 12 * 104 / 100, "but for those that start just then all know: " + many);
+    }
+
+    @Test
+    void everyOrderOfEventsAmongThreeToADepthKeepsWhatWasPromised() {
+        Explorer.Result r = Explorer.explore(new Explorer.Plan(4, 1, 1, 1, 1_000_000), Explorer.Fault.NONE);
+        assertTrue(r.whole() && r.wrong() == null && r.states() > 3_000, r.toString());
+        Explorer.Result planted = Explorer.explore(new Explorer.Plan(4, 1, 1, 1, 1_000_000), Explorer.Fault.CONFIRMED_BEFORE_WRITTEN);
+        assertNotNull(planted.wrong(), "an acknowledgement before the disk is not seen");
+    }
+
+    @Test
+    void schedulesOfFaultsBySeedEndInEqualCopies() {
+        List<String> broken = LongStream.rangeClosed(1, 300).parallel().mapToObj(Schedules::play).filter(p -> !p.wrong().isEmpty())
+            .map(p -> "seed " + p.seed() + ": " + p.wrong().get(0)).toList();
+        assertEquals(List.of(), broken, "bin/hatchlab replica replay SEED");
+    }
+}
