A member as a process, its orders on disk, and hatchctl state and order

Need: the replicated state has to be run, asked and given orders by operators. Change: holdproxy.peers: member.json checked with its fields named, messages as CBOR (Jackson) in frames of bounded length, a log of orders with CRC-32C that skips what is torn or flipped and says so, one loop, a disk thread, a control socket. hatchctl state, state diff, state show, order. Loopback addresses only until the agents' mutual TLS carries it. Nothing of it is loaded by serve. Found by fuzzing the codec: a CBOR null was a NullPointerException; now refused.

--- a/fleet/src/main/java/holdproxy/cli/Hatchctl.java
+++ b/fleet/src/main/java/holdproxy/cli/Hatchctl.java
@@ -33,7 +33,7 @@
         Hatchctl.Status.class, Hatchctl.Start.class, Hatchctl.Stop.class, Hatchctl.Restart.class,
         Hatchctl.Reload.class, Hatchctl.Rolling.class, Hatchctl.Logs.class, Hatchctl.EventLog.class,
         Hatchctl.Wait.class, Hatchctl.Up.class, Hatchctl.Down.class, Hatchctl.AgentStart.class,
-        Hatchctl.Completion.class},
+        Hatchctl.Completion.class, StateCommands.State.class, StateCommands.Order.class},
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:done", "1:done, and something is not as wanted", "2:wrong usage",
         "3:an agent does not answer", "4:refused, nothing is changed", "5:the time given is over"})
--- a/fleet/src/main/java/holdproxy/fleet/Main.java
+++ b/fleet/src/main/java/holdproxy/fleet/Main.java
@@ -6,12 +6,13 @@
 import holdproxy.demo.DemoDiscovery;
 import holdproxy.demo.DemoNode;
 import holdproxy.net.Service;
+import holdproxy.peers.MemberService;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 
-/** Command line of the fleet: {@code agent}, {@code ctl} and the local site's stand-ins. */
+/** Command line of the fleet: {@code agent}, {@code member}, {@code ctl} and the local site's stand-ins. */
 public final class Main {
     private Main() {
     }
@@ -24,6 +25,7 @@
             case "demo-discovery" -> demo(rest, false);
             case "demo-node" -> demo(rest, true);
             case "agent" -> agent(rest);
+            case "member" -> member(rest);
             default -> usage();
         }
     }
@@ -39,6 +41,19 @@
         }
     }
 
+    private static void member(List<String> folder) {
+        if (folder.size() != 1) {
+            usage();
+        }
+        try {
+            MemberService.run(Path.of(folder.get(0)));
+        } catch (BadInput e) {
+            ends(e, Service.code(e));
+        } catch (IOException e) {
+            ends(e, 2);
+        }
+    }
+
     private static void demo(List<String> arguments, boolean node) {
         if (node && !arguments.isEmpty()) {
             usage();
@@ -62,7 +77,7 @@
     }
 
     private static void usage() {
-        System.err.println("usage: java -jar hatchctl.jar ctl ... | agent FOLDER | demo-node"
+        System.err.println("usage: java -jar hatchctl.jar ctl ... | agent FOLDER | member FOLDER | demo-node"
             + " | demo-discovery NAME=ADDRESS ...");
         System.exit(2);
     }
--- /dev/null
+++ b/fleet/src/test/java/holdproxy/peers/OrderLogTest.java
@@ -0,0 +1,104 @@
+package holdproxy.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.replica.Item;
+import holdproxy.replica.Message;
+import holdproxy.replica.Order;
+import holdproxy.replica.Orders;
+import holdproxy.replica.Told;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Danger: a disk that was torn or flipped keeps a member from starting, or gives it orders that nobody gave. */
+class OrderLogTest {
+    @TempDir
+    Path folder;
+
+    private static Orders order(long number, String verb) {
+        return Orders.of(Map.of(9L, number), List.of(new Order(9, number, 100 + number, verb, "who", "why")));
+    }
+
+    private void fill(int many) throws Exception {
+        try (OrderLog log = OrderLog.open(folder)) {
+            for (int i = 0; i < many; i++) {
+                log.append("order/n" + i, order(i + 1, "drain"));
+            }
+        }
+    }
+
+    @Test
+    void whereverItIsTornWhatWasBeforeReads() throws Exception {
+        fill(4);
+        Path file = folder.resolve(OrderLog.FILE);
+        byte[] all = Files.readAllBytes(file);
+        for (int length = 0; length < all.length; length++) {
+            Files.write(file, Arrays.copyOf(all, length));
+            try (OrderLog log = OrderLog.open(folder)) {
+                assertEquals((long) length * 4 / all.length, log.all().size(), "of " + length + " bytes");
+                log.append("order/n9", order(9, "close"));
+            }
+            try (OrderLog log = OrderLog.open(folder)) {
+                assertEquals(0, log.skipped(), "what was torn is gone at the next start");
+                assertTrue(log.all().containsKey("order/n9"));
+            }
+        }
+    }
+
+    @Test
+    void aFlippedByteCostsOneRecordAndInventsNothing() throws Exception {
+        fill(4);
+        Path file = folder.resolve(OrderLog.FILE);
+        byte[] all = Files.readAllBytes(file);
+        for (int i = 0; i < all.length; i++) {
+            byte[] bad = all.clone();
+            bad[i] ^= 0x41;
+            Files.write(file, bad);
+            try (OrderLog log = OrderLog.open(folder)) {
+                assertEquals(3, log.all().size(), "byte " + i);
+                log.all().forEach((key, orders) -> assertEquals("drain", orders.counts().verb(), key));
+                assertTrue(log.skipped() > 0);
+            }
+        }
+    }
+
+    @Test
+    void messagesComeAsTheyWentAndBadOnesAreNamed() {
+        Message m = new Message("m1", 7, false, 1_234, Map.of("m2", new Message.Reading(3, 99, 5)), new Message.News(List.of(
+            new Item("order/n1", order(2, "drain"), 10), new Item("node/s-1", new Told(5, Told.State.GONE), 0)), true));
+        assertEquals(m, PeerCodec.message(PeerCodec.bytes(m)));
+        byte[] whole = PeerCodec.bytes(m);
+        SplittableRandom r = new SplittableRandom(1);
+        int refused = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bad = Arrays.copyOf(whole, r.nextInt(4) == 0 ? r.nextInt(whole.length) : whole.length);
+            for (int flips = r.nextInt(1, 4); flips > 0 && bad.length > 0; flips--) {
+                bad[r.nextInt(bad.length)] = (byte) r.nextInt();
+            }
+            try {
+                PeerCodec.message(bad);
+            } catch (IllegalArgumentException | ClassCastException e) {
+                refused++; // what Peers catches: nothing else may come out
+            }
+        }
+        assertTrue(refused > 10_000, "refused " + refused);
+    }
+
+    @Test
+    void aFileThatIsWrongIsRefusedWithItsField() throws Exception {
+        for (String[] bad : new String[][] {{"{\"name\":\"a b\"}", "name"}, {"{\"name\":\"a\",\"peers\":{\"b\":\"10.0.0.1:1\"}}", "peers.b"},
+            {"{\"name\":\"a\",\"peers\":{},\"listen\":\"127.0.0.1:1\",\"settings\":{\"copies\":0}}", "settings.copies"},
+            {"{\"name\":\"a\",\"peers\":{},\"lsten\":1}", "lsten"}}) {
+            Files.writeString(folder.resolve(MemberFile.FILE), bad[0]);
+            assertTrue(assertThrows(holdproxy.BadInput.class, () -> MemberFile.read(folder)).getMessage().contains(bad[1]), bad[0]);
+        }
+    }
+}
