A removal is remembered for as long as anybody says otherwise

Change: Store.take counts a faded value again when something contradicts it or says it again, and it is told again.

--- a/lab/src/test/java/holdproxy/lab/replica/ReplicaTest.java
+++ b/lab/src/test/java/holdproxy/lab/replica/ReplicaTest.java
@@ -69,6 +69,22 @@
         }
     }
 
+    /** Danger: a list that comes late says a node back to life after its removal has faded. */
+    @Test
+    void aRemovalIsRememberedForAsLongAsAnybodySaysOtherwise() {
+        Cluster c = together(4);
+        halves(c, true);
+        c.member(0).told("s-1", new Told(5, Told.State.GONE), c.now());
+        c.run(40_000);
+        c.member(1).told("s-1", new Told(5, Told.State.SERVING), c.now());
+        c.run(25_000);
+        halves(c, false);
+        heals(c);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(new Told(5, Told.State.GONE), c.member(i).get("node/s-1"), "m" + i);
+        }
+    }
+
     @Test
     void aMessageThatWasHeldBackForLongerThanRemovalsAreRememberedIsNotTaken() {
         Cluster c = together(3);
--- a/proxy/src/main/java/holdproxy/replica/Store.java
+++ b/proxy/src/main/java/holdproxy/replica/Store.java
@@ -79,11 +79,9 @@
         }
         Value merged = h.value.merge(value);
         if (merged.equals(h.value)) {
-            if (merged.equals(value)) {
-                h.bornMs = Math.max(h.bornMs, nowMs - ageMs); // said again
-                recount(h, nowMs);
-            }
-            return false;
+            // said again; or contradicted: a removal is remembered for as long as anybody says otherwise
+            h.bornMs = Math.max(h.bornMs, nowMs - ageMs);
+            return recount(h, nowMs);
         }
         uncount(h);
         h.value = merged;
@@ -97,11 +95,13 @@
         add(h, h.hash ^ h.value.digest());
     }
 
-    /** Said again in time it counts again. */
-    private void recount(Held h, long nowMs) {
-        if (!h.counted && !h.faded(nowMs)) {
+    /** What had faded and was not dropped yet counts again; whether it did. */
+    private boolean recount(Held h, long nowMs) {
+        boolean again = !h.counted && !h.faded(nowMs);
+        if (again) {
             count(h);
         }
+        return again;
     }
 
     private void uncount(Held h) {
