--- a/lab/src/test/java/holdproxy/lab/replica/ReplicaTest.java
+++ b/lab/src/test/java/holdproxy/lab/replica/ReplicaTest.java
@@ -119,6 +119,29 @@
         assertTrue(g.refused && !g.acknowledged && g.disks == 1, "on " + g.disks);
     }
 
+    @Test
+    void norWithoutItsOwn() {
+        Cluster c = together(3);
+        c.disk(0).full = true;
+        Cluster.Given g = c.order(0, "n1", "drain");
+        c.run(11_000);
+        assertTrue(g.refused && !g.acknowledged, "on " + g.disks);
+    }
+
+    @Test
+    void aCopyOfMembersThatAreThemselvesBehindIsNotEnough() {
+        Cluster c = together(4);
+        for (int i = 0; i < 3; i++) {
+            c.kill(i);
+            c.start(i);
+            c.network.cut("m3", "m" + i, true); // the only one that knows
+        }
+        c.run(3_000);
+        assertEquals(Replica.State.CATCHING_UP, c.member(0).state());
+        c.network.heal(c.now());
+        heals(c);
+    }
+
     /** And one disk of those that acknowledged is lost with its member's memory. */
     @Test
     void acknowledgedItOutlivesADeathAndADisk() {
