--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -134,11 +134,12 @@
     }
 
     /**
-     * Whether something lies with us that nobody is about to move: an answer not handed to the kernel, or commands that
-     * were read and have waited for their turn for too long. Asked between two reads.
+     * Whether something lies with us that nobody is about to move: an answer not handed to the kernel, or
+     * commands that were read and have waited for their turn for too long. Asked between two reads.
      */
     boolean stuck(long now) {
-        return dirty || behind && !paused && heldUs != 0 && now - heldUs > STUCK_US && slots.size() < MOST_WAITING;
+        boolean unread = behind && !paused && heldUs != 0 && now - heldUs > STUCK_US;
+        return dirty || unread && slots.size() < MOST_WAITING;
     }
 
     /** How long what is read now may have waited with us. */
--- a/proxy/src/main/java/holdproxy/net/PipeChannel.java
+++ b/proxy/src/main/java/holdproxy/net/PipeChannel.java
@@ -16,8 +16,9 @@
 import java.nio.channels.Pipe;
 
 /**
- * A connection within the process, over two pipes: selected, read and written as a socket is, with no address that
- * anybody else could reach. Dialled it is up at once, and its other end is handed a pipeline of its own.
+ * A connection within the process, over two pipes: selected, read and written as a socket is, with no
+ * address that anybody else could reach. Dialled it is up at once, and its other end is handed a pipeline
+ * of its own.
  *
  * <p>For small messages that are read as they come: a pipe that is full ends the connection.
  */
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -437,9 +437,10 @@
     }
 
     /**
-     * After the loop has stood still, whoever's time is over has its answer before the rest of what came meanwhile is
-     * read. Danger: a pause brings a burst; read first, with a list held back behind it, it puts off answers that were
-     * already late by as much again, and one that comes half a second late counts as lost.
+     * After the loop has stood still, whoever's time is over has its answer before the rest of what came
+     * meanwhile is read. Danger: a pause brings a burst; read first, with a list held back behind it, it
+     * puts off answers that were already late by as much again, and one that comes half a second late
+     * counts as lost.
      */
     private void overdueFirst() {
         long now = now();
@@ -498,7 +499,8 @@
     /** So many client connections have something lying with us. */
     void stuck(int connections) {
         if (connections > 0) {
-            log.line(connections + " client connections have had answers or commands lying here for over 0.1 s");
+            log.line(connections
+                + " client connections have had answers or commands lying here for over 0.1 s");
         }
     }
 
--- a/proxy/src/main/java/holdproxy/net/Rehearsal.java
+++ b/proxy/src/main/java/holdproxy/net/Rehearsal.java
@@ -22,16 +22,16 @@
 import java.util.List;
 
 /**
- * What a first burst of requests would find uncompiled, run before the proxy listens: a second proxy on the
- * same loop, with the same settings and a module of its own, serves made-up clients from made-up nodes. On
- * part of a core the first clients, who come all at once, else wait for half a second, and what they ask runs
- * out of time.
+ * What a first burst of requests would find uncompiled, run before the proxy listens: a second proxy on
+ * the same loop, with the same settings and a module of its own, serves made-up clients from made-up
+ * nodes. On part of a core the first clients, who come all at once, else wait for half a second, and what
+ * they ask runs out of time.
  *
- * <p>Over pipes: the code that selects, reads and writes is nearly the same, and the proxy is to listen on no other
- * address than its own. Danger: over Unix domain sockets it ran nothing at all where these cannot be reached, in silence,
- * for 2 s; 97 proxies then served their first hundreds of requests interpreted, at 5 ms of a processor each, and the
- * burst after seven in ten of them were killed took the rest most of a second, in which requests were lost. Nothing of it
- * reaches discovery, a node or the log.
+ * <p>Over pipes: the code that selects, reads and writes is nearly the same, and the proxy is to listen
+ * on no other address than its own. Danger: over Unix domain sockets it ran nothing at all where these
+ * cannot be reached, in silence, for 2 s; 97 proxies then served their first hundreds of requests
+ * interpreted, at 5 ms of a processor each, and the burst after seven in ten of them were killed took the
+ * rest most of a second, in which requests were lost. Nothing of it reaches discovery, a node or the log.
  */
 final class Rehearsal {
     /** Compiled after 60 calls (the deploy file sets that); more, for what not every request does. */
@@ -70,7 +70,10 @@
         proxy = new Proxy(config, loop, machine, new Log(System::nanoTime, line -> { }), module -> module);
     }
 
-    /** Not on the loop: waits for it. Where it cannot be held the proxy only starts slower; the log says so. */
+    /**
+     * Not on the loop: waits for it. Where it cannot be held the proxy only starts slower; the log says
+     * so.
+     */
     static int run(Config config, EventLoop loop, Log log) throws InterruptedException {
         try {
             int answered = run(config.rehearsal(), loop);
--- a/proxy/src/main/java/holdproxy/replica/CatchUp.java
+++ b/proxy/src/main/java/holdproxy/replica/CatchUp.java
@@ -7,9 +7,9 @@
 import java.util.SplittableRandom;
 
 /**
- * A whole copy from several others, a page at a time. One giver may itself be behind, or die halfway: what it gave stays,
- * since merging does no harm, and another is asked from the start. Only copies of members that are not behind count; with
- * none to be had the member goes on with what it has.
+ * A whole copy from several others, a page at a time. One giver may itself be behind, or die halfway:
+ * what it gave stays, since merging does no harm, and another is asked from the start. Only copies of
+ * members that are not behind count; with none to be had the member goes on with what it has.
  */
 final class CatchUp {
     /** Whole copies from different members that are enough; fewer where there are no more others. */
--- a/proxy/src/main/java/holdproxy/replica/Message.java
+++ b/proxy/src/main/java/holdproxy/replica/Message.java
@@ -10,10 +10,12 @@
  * @param life drawn anew at each start
  * @param behind whether it is itself catching up
  * @param nowMs its clock: comes back as a reading
- * @param readings clocks of members as last read, by name, the receiver's among them where it is known: how long ago by
- *     that clock, and for how long it has been held since. The receiver knows from its own how old this message may be.
+ * @param readings clocks of members as last read, by name, the receiver's among them where it is known:
+ *     how long ago by that clock, and for how long it has been held since. The receiver knows from its
+ *     own how old this message may be.
  */
-public record Message(String from, long life, boolean behind, long nowMs, Map<String, Reading> readings, Body body) {
+public record Message(String from, long life, boolean behind, long nowMs, Map<String, Reading> readings,
+        Body body) {
     public record Reading(long life, long clockMs, long heldMs) {
     }
 
@@ -23,7 +25,10 @@
         }
     }
 
-    /** Entries that the receiver may lack; {@code confirm}: orders among them are answered when they are on its disk. */
+    /**
+     * Entries that the receiver may lack; {@code confirm}: orders among them are answered when they are
+     * on its disk.
+     */
     public record News(List<Item> items, boolean confirm) implements Body {
         @Override
         public int bytes() {
--- a/proxy/src/main/java/holdproxy/replica/Order.java
+++ b/proxy/src/main/java/holdproxy/replica/Order.java
@@ -3,10 +3,11 @@
 /**
  * What an operator wants, as given once.
  *
- * @param life of the member that took it: drawn anew at each start, so that a member put back to an old disk cannot
- *     name two orders alike
+ * @param life of the member that took it: drawn anew at each start, so that a member put back to an old
+ *     disk cannot name two orders alike
  * @param number of the order within that life, from 1
- * @param stamp hybrid time: after all that the member had heard of, but no further ahead of its own clock than a bound
+ * @param stamp hybrid time: after all that the member had heard of, but no further ahead of its own clock
+ *     than a bound
  * @param verb what is wanted, {@link #CLEAR} to want nothing any more
  * @param who for the record
  * @param why for the record
--- a/proxy/src/main/java/holdproxy/replica/Orders.java
+++ b/proxy/src/main/java/holdproxy/replica/Orders.java
@@ -7,16 +7,17 @@
 import java.util.TreeMap;
 
 /**
- * The orders on one subject that no later one replaces. The rule for copies that differ: an order replaces all that the
- * member which took it had heard of, whatever their clocks say, so that a clock an hour ahead wins nothing for ever. Of
- * orders that had not heard of one another all stay, shown as a contradiction; meanwhile the latest stamp counts, but
- * that a wish goes before a clearing. What was heard of is a number for each life, as in a multi-value register with
- * dotted version vectors (Preguica, Baquero, Almeida, Fonte, Goncalves: 2012).
+ * The orders on one subject that no later one replaces. The rule for copies that differ: an order
+ * replaces all that the member which took it had heard of, whatever their clocks say, so that a clock an
+ * hour ahead wins nothing for ever. Of orders that had not heard of one another all stay, shown as a
+ * contradiction; meanwhile the latest stamp counts, but that a wish goes before a clearing. What was
+ * heard of is a number for each life, as in a multi-value register with dotted version vectors (Preguica,
+ * Baquero, Almeida, Fonte, Goncalves: 2012).
  */
 public final class Orders implements Value {
     /**
-     * Lives that gave orders on one subject. Never forgotten, not even where all is cleared: an order that came back from
-     * a disk of last year would else count again.
+     * Lives that gave orders on one subject. Never forgotten, not even where all is cleared: an order
+     * that came back from a disk of last year would else count again.
      */
     static final int MOST_LIVES = 256;
     /** Of a copy that comes from outside: two halves may each have reached the bound. */
@@ -42,21 +43,23 @@
         sorted.sort(Order::compare);
         for (Order o : sorted) {
             if (heard.getOrDefault(o.life(), 0L) < o.number()) {
-                throw new IllegalArgumentException("orders: one of life " + o.life() + " that was not heard of");
+                throw new IllegalArgumentException("orders: one of life " + o.life()
+                    + " that was not heard of");
             }
         }
         return new Orders(new TreeMap<>(heard), List.copyOf(sorted));
     }
 
     /**
-     * What stands after this order, given where {@code before} (or nothing, null) was known. IllegalArgumentException
-     * where the subject has had too many.
+     * What stands after this order, given where {@code before} (or nothing, null) was known.
+     * IllegalArgumentException where the subject has had too many.
      */
     static Orders given(Orders before, Order order) {
         SortedMap<Long, Long> heard = before == null ? new TreeMap<>() : new TreeMap<>(before.heard);
         heard.merge(order.life(), order.number(), Math::max);
         if (heard.size() > MOST_LIVES) {
-            throw new IllegalArgumentException("subject: has had orders of " + MOST_LIVES + " lives, use another name");
+            throw new IllegalArgumentException("subject: has had orders of " + MOST_LIVES
+                + " lives, use another name");
         }
         return new Orders(heard, List.of(order));
     }
--- a/proxy/src/main/java/holdproxy/replica/Replica.java
+++ b/proxy/src/main/java/holdproxy/replica/Replica.java
@@ -17,17 +17,18 @@
 import java.util.function.BiConsumer;
 
 /**
- * One member's copy of the state that matters, and all its decisions on keeping it equal to the others'. Free of I/O:
- * events and a clock in, {@link Actions} out. {@code nowMs} is a clock of its own that never goes back and goes on while
- * the process is stopped; the wall clock stamps orders and is compared with nobody's.
+ * One member's copy of the state that matters, and all its decisions on keeping it equal to the others'.
+ * Free of I/O: events and a clock in, {@link Actions} out. {@code nowMs} is a clock of its own that never
+ * goes back and goes on while the process is stopped; the wall clock stamps orders and is compared with
+ * nobody's.
  */
 public final class Replica {
     /** Whether what a member says is the fleet's state as far as it can know. */
     public enum State { CATCHING_UP, CURRENT, ALONE }
 
     /** What operators are shown. */
-    public record Status(State state, long sinceMs, String giver, long awayMs, int entries, int contradictions,
-            long digest, int waiting, long sentBytes, long late, long refused) {
+    public record Status(State state, long sinceMs, String giver, long awayMs, int entries,
+            int contradictions, long digest, int waiting, long sentBytes, long late, long refused) {
     }
 
     private static final int PAGE_BYTES = 4 << 10;
@@ -47,7 +48,10 @@
     private final Actions actions;
     private final List<String> peers;
     private final Store store = new Store();
-    /** Orders and what lists tell, each member as often as it takes for all to know; and figures, which come again anyway. */
+    /**
+     * Orders and what lists tell, each member as often as it takes for all to know; and figures, which
+     * come again anyway.
+     */
     private final Rumours urgent = new Rumours();
     private final Rumours figures = new Rumours();
     private final Readings readings;
@@ -87,10 +91,12 @@
 
     /**
      * @param me its name, among the others' for good
-     * @param life drawn anew at each start, and larger than at the starts before by this machine's clock where it can be
+     * @param life drawn anew at each start, and larger than at the starts before by this machine's clock
+     *     where it can be
      * @param peers all others
      */
-    public Replica(String me, long life, List<String> peers, Settings settings, long seed, long nowMs, Actions actions) {
+    public Replica(String me, long life, List<String> peers, Settings settings, long seed, long nowMs,
+            Actions actions) {
         this.me = me;
         this.life = life;
         this.peers = List.copyOf(peers);
@@ -117,8 +123,8 @@
     // ---- what is said here ----
 
     /**
-     * An operator's order. Its number is that of the later {@link Actions#acknowledged}. IllegalArgumentException where it
-     * cannot be one; IllegalStateException where too many wait.
+     * An operator's order. Its number is that of the later {@link Actions#acknowledged}.
+     * IllegalArgumentException where it cannot be one; IllegalStateException where too many wait.
      */
     public long order(String subject, String verb, String who, String why, long nowMs, long wallMs) {
         awake(nowMs);
@@ -190,7 +196,8 @@
     }
 
     public void each(BiConsumer<String, Value> entry) {
-        store.held().stream().sorted((a, b) -> a.key.compareTo(b.key)).forEach(h -> entry.accept(h.key, h.value));
+        store.held().stream().sorted((a, b) -> a.key.compareTo(b.key))
+            .forEach(h -> entry.accept(h.key, h.value));
     }
 
     public State state() {
@@ -211,13 +218,13 @@
         for (Pending.Waiting w : pending.all()) {
             waiting++;
         }
-        return new Status(state, sinceMs, catchUp.giver(), nowMs - heardMs, store.size(), contradictions, store.sum(),
-            waiting, sentBytes, late, refused);
+        return new Status(state, sinceMs, catchUp.giver(), nowMs - heardMs, store.size(), contradictions,
+            store.sum(), waiting, sentBytes, late, refused);
     }
 
     /**
-     * Equal where two members would do the same from here on, whatever comes: for a checker that goes through all states.
-     * Times are relative to now.
+     * Equal where two members would do the same from here on, whatever comes: for a checker that goes
+     * through all states. Times are relative to now.
      */
     public long fingerprint(long nowMs) {
         long f = Value.mix(life + state.ordinal());
@@ -225,9 +232,11 @@
             f += Value.mix(h.hash ^ h.value.digest() ^ Value.mix(h.ageMs(nowMs)));
         }
         for (Pending.Waiting w : pending.all()) {
-            f += Value.mix(w.order.number() * 31 + (w.here ? 1 : 0) + w.disks.hashCode() * 1_021L + 13 * w.rounds());
+            f += Value.mix(w.order.number() * 31 + (w.here ? 1 : 0) + w.disks.hashCode() * 1_021L
+                + 13 * w.rounds());
         }
-        f = Value.mix(f + ticks % SUM_EVERY + 7 * (nowMs - heardMs) + 1_009 * (nowMs - lastMs) + urgent.hashCode() + 3 * figures.hashCode());
+        f = Value.mix(f + ticks % SUM_EVERY + 7 * (nowMs - heardMs) + 1_009 * (nowMs - lastMs));
+        f = Value.mix(f + urgent.hashCode() + 3 * figures.hashCode());
         f = Value.mix(f + said + stampMs + orders + cells + tokens + (long) (budget * 8));
         return Value.mix(f + storing.keySet().hashCode() + 31 * catchUp.hashCode());
     }
@@ -235,11 +244,12 @@
     // ---- events ----
 
     /**
-     * Whatever wakes it: one that was stopped for long must notice before it takes what waited in its sockets, and before
-     * it says anything.
+     * Whatever wakes it: one that was stopped for long must notice before it takes what waited in its
+     * sockets, and before it says anything.
      */
     private void awake(long nowMs) {
-        if (nowMs - lastMs > settings.awayMs() || nowMs - heardMs > settings.awayMs() && state == State.CURRENT) {
+        boolean stopped = nowMs - lastMs > settings.awayMs();
+        if (stopped || nowMs - heardMs > settings.awayMs() && state == State.CURRENT) {
             fallBehind(nowMs);
         }
         lastMs = Math.max(lastMs, nowMs);
@@ -285,7 +295,8 @@
         ticks++;
         // a debt is bounded too: one that took many orders would else say nothing else for minutes
         budget = Math.max(-settings.bytesPerS() * BURST_S, budget);
-        budget = Math.min(settings.bytesPerS() * BURST_S, budget + settings.bytesPerS() * settings.tickMs() / 1e3);
+        budget = Math.min(settings.bytesPerS() * BURST_S,
+            budget + settings.bytesPerS() * settings.tickMs() / 1e3);
         copyBudget = Math.min(settings.copyBytesPerS() * BURST_S,
             copyBudget + settings.copyBytesPerS() * Math.min(passed, 1_000) / 1e3);
         store.fade(nowMs);
@@ -311,7 +322,8 @@
         boolean heard = nowMs - heardMs < settings.aloneMs();
         boolean fed = nowMs - catchUp.fedMs() < settings.aloneMs();
         if (catchUp.enough() || over && !fed && (catchUp.any() || heard)) {
-            enter(State.CURRENT, nowMs); // one giver is left, or all are behind: what they have is all there is
+            // one giver is left, or all are behind: what they have is all there is
+            enter(State.CURRENT, nowMs);
         } else {
             if (over && !fed && state == State.CATCHING_UP) {
                 enter(State.ALONE, nowMs);
@@ -372,7 +384,8 @@
     }
 
     private void say(String peer, Message.Body body, long nowMs) {
-        Message m = new Message(me, life, state == State.CATCHING_UP, nowMs, readings.to(peer, nowMs, random), body);
+        Message m = new Message(me, life, state == State.CATCHING_UP, nowMs,
+            readings.to(peer, nowMs, random), body);
         sentBytes += m.bytes();
         said++;
         if (!(body instanceof Page)) {
@@ -470,7 +483,8 @@
         List<Item> page = store.page(a.after(), a.first(), PAGE_BYTES, nowMs);
         long next = page.isEmpty() ? 0 : Store.hash(page.get(page.size() - 1).key());
         List<Item> items = state != State.CATCHING_UP ? page
-            : page.stream().filter(i -> i.value() instanceof Orders).toList(); // of the rest it is unsure itself
+            // of the rest it is unsure itself
+            : page.stream().filter(i -> i.value() instanceof Orders).toList();
         copyBudget -= items.stream().mapToInt(Item::bytes).sum() + 64;
         say(to, new Page(items, next, page.isEmpty(), false), nowMs);
     }
--- a/proxy/src/main/java/holdproxy/replica/Store.java
+++ b/proxy/src/main/java/holdproxy/replica/Store.java
@@ -179,7 +179,10 @@
         }
     }
 
-    /** In the order of hashes, after one or from the first; as many as go into so many bytes, and at least one. */
+    /**
+     * In the order of hashes, after one or from the first; as many as go into so many bytes, and at least
+     * one.
+     */
     List<Item> page(long after, boolean first, int mostBytes, long nowMs) {
         List<Item> page = new ArrayList<>();
         int bytes = 0;
--- a/proxy/src/main/java/holdproxy/replica/Told.java
+++ b/proxy/src/main/java/holdproxy/replica/Told.java
@@ -1,11 +1,13 @@
 package holdproxy.replica;
 
 /**
- * What a list has told of a cache node. The rule for copies that differ: a later start of the node goes before an
- * earlier one, since it is colder; within one start the safer state wins, draining over serving and gone over draining,
- * since a proxy that serves on after it was told breaks a rule and one that does not serve loses a little.
+ * What a list has told of a cache node. The rule for copies that differ: a later start of the node goes
+ * before an earlier one, since it is colder; within one start the safer state wins, draining over serving
+ * and gone over draining, since a proxy that serves on after it was told breaks a rule and one that does
+ * not serve loses a little.
  *
- * @param startedMs when the node last started, Unix time in ms as its list says, 0 for long ago: its incarnation
+ * @param startedMs when the node last started, Unix time in ms as its list says, 0 for long ago: its
+ *     incarnation
  */
 public record Told(long startedMs, State state) implements Value {
     /** In the order of what is safer. */
--- a/proxy/src/main/java/holdproxy/replica/Value.java
+++ b/proxy/src/main/java/holdproxy/replica/Value.java
@@ -1,8 +1,8 @@
 package holdproxy.replica;
 
 /**
- * What is held under one key. Its merge is commutative, associative and idempotent, so that copies that have heard the
- * same, in whatever order and however often, are equal. Values do not change.
+ * What is held under one key. Its merge is commutative, associative and idempotent, so that copies that
+ * have heard the same, in whatever order and however often, are equal. Values do not change.
  */
 public sealed interface Value permits Told, Cell, Orders {
     /** The join of both. IllegalArgumentException where they are of different kinds. */
@@ -14,7 +14,10 @@
     /** About how many bytes it takes on the wire. */
     int bytes();
 
-    /** FNV-1a with a finisher (MurmurHash3's): small differences must reach all bits, since digests are added up. */
+    /**
+     * FNV-1a with a finisher (MurmurHash3's): small differences must reach all bits, since digests are
+     * added up.
+     */
     static long hash(long seed, String text) {
         long h = 0xcbf29ce484222325L ^ seed;
         for (int i = 0; i < text.length(); i++) {
