--- a/fleet/src/main/java/holdproxy/cli/StateCommands.java
+++ b/fleet/src/main/java/holdproxy/cli/StateCommands.java
@@ -32,12 +32,20 @@
     static final class Asked {
         @Spec(Spec.Target.MIXEE)
         CommandSpec spec;
-        @Option(names = {"-m", "--member"}, paramLabel = "FOLDER", split = ",", required = true,
+        @Option(names = {"-m", "--member"}, paramLabel = "FOLDER", split = ",",
             description = "A member's folder; several may be given.")
-        List<Path> members = new ArrayList<>();
+        List<Path> folders = new ArrayList<>();
         @Option(names = {"-o", "--output"}, paramLabel = "FORM", description = "table (the usual) or json.")
         String output = "table";
 
+        /** Not required by the option itself: `state diff` would need it twice. */
+        List<Path> members() {
+            if (folders.isEmpty()) {
+                throw new Failed(Exit.USAGE, "--member: the folder of a member is missing");
+            }
+            return folders;
+        }
+
         boolean json() {
             if (!output.equals("table") && !output.equals("json")) {
                 throw new Failed(Exit.USAGE, "--output: table or json, not " + output);
@@ -94,7 +102,7 @@
             boolean well = true;
             boolean unreachable = false;
             TreeSet<String> digests = new TreeSet<>();
-            for (Path member : asked.members) {
+            for (Path member : asked.members()) {
                 Map<String, Object> s;
                 try {
                     s = new LinkedHashMap<>(ask(member, Wire.request("state"), ASK_MS));
@@ -130,11 +138,11 @@
 
         @Override
         public Integer call() {
-            if (asked.members.size() != 2) {
-                throw new Failed(Exit.USAGE, "--member: two of them, not " + asked.members.size());
+            if (asked.members().size() != 2) {
+                throw new Failed(Exit.USAGE, "--member: two of them, not " + asked.members().size());
             }
-            Map<String, Map<String, Object>> a = entries(asked.members.get(0));
-            Map<String, Map<String, Object>> b = entries(asked.members.get(1));
+            Map<String, Map<String, Object>> a = entries(asked.members().get(0));
+            Map<String, Map<String, Object>> b = entries(asked.members().get(1));
             TreeSet<String> keys = new TreeSet<>(a.keySet());
             keys.addAll(b.keySet());
             List<Map<String, Object>> differ = new ArrayList<>();
@@ -152,7 +160,7 @@
             if (asked.json()) {
                 asked.out().println(Plain.json(Wire.text(Map.of("differ", differ))));
             } else {
-                Table table = new Table().row("KEY", asked.members.get(0).getFileName(), asked.members.get(1).getFileName());
+                Table table = new Table().row("KEY", asked.members().get(0).getFileName(), asked.members().get(1).getFileName());
                 differ.forEach(d -> table.row(d.get("key"), d.get("a"), d.get("b")));
                 table.print(asked.out());
             }
@@ -168,7 +176,7 @@
         @Override
         public Integer call() {
             boolean contradict = false;
-            for (Path member : asked.members) {
+            for (Path member : asked.members()) {
                 Map<String, Map<String, Object>> all = entries(member);
                 if (asked.json()) {
                     asked.out().println(Plain.json(Wire.text(Map.of("member", member.getFileName().toString(), "entries", List.copyOf(all.values())))));
@@ -211,15 +219,15 @@
 
         @Override
         public Integer call() {
-            if (asked.members.size() != 1) {
-                throw new Failed(Exit.USAGE, "--member: one takes an order, not " + asked.members.size());
+            if (asked.members().size() != 1) {
+                throw new Failed(Exit.USAGE, "--member: one takes an order, not " + asked.members().size());
             }
             Map<String, Object> request = Wire.request("order");
             request.put("subject", subject);
             request.put("verb", verb);
             request.put("who", who);
             request.put("why", why);
-            Map<String, Object> reply = ask(asked.members.get(0), request, ORDER_MS);
+            Map<String, Object> reply = ask(asked.members().get(0), request, ORDER_MS);
             asked.out().println(asked.json() ? Plain.json(Wire.text(Map.of("disks", reply.get("disks"), "number", reply.get("number"))))
                 : Plain.line(verb + " " + subject + ": on " + reply.get("disks") + " disks"));
             return Exit.OK;
