--- a/proxy/src/main/java/holdproxy/net/Exchange.java
+++ b/proxy/src/main/java/holdproxy/net/Exchange.java
@@ -16,8 +16,6 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean answered;
-    /** The module has heard of it. */
-    boolean told;
     Future<?> overdue;
 
     Exchange(long id, Command command, ClientSession session, ClientSession.Slot slot, long dueUs,
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -10,7 +10,6 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -94,8 +93,6 @@
     private long firstTickUs;
     private long tickBeforeUs;
     private long lastTickUs;
-    /** The tick after whose pause what was overdue has been answered. */
-    private long sweptUs = -1;
     private long lastLateUs;
     private long longestLateUs;
     private long lateSumUs;
@@ -259,7 +256,6 @@
      * meanwhile has been read: a list among it may have told long ago that a node drains.
      */
     private void event(Runnable call) {
-        overdueFirst();
         if (held.isEmpty() && stoodStillUs(now()) <= holdAfterUs) {
             deliver(call);
             return;
@@ -427,7 +423,6 @@
             if (x.answered) {
                 return; // its client left while the event was held
             }
-            x.told = true;
             c.fill(request);
             request.id = x.id;
             request.dueUs = x.dueUs;
@@ -436,33 +431,6 @@
         return x;
     }
 
-    /**
-     * After the loop has stood still, whoever's time is over has its answer before the rest of what came
-     * meanwhile is read. Danger: a pause brings a burst; read first, with a list held back behind it, it
-     * puts off answers that were already late by as much again, and one that comes half a second late
-     * counts as lost.
-     */
-    private void overdueFirst() {
-        long now = now();
-        if (lastTickUs == sweptUs || stoodStillUs(now) <= LATE_TOLD_US || inEvent) {
-            return;
-        }
-        sweptUs = lastTickUs;
-        List<Exchange> over = new ArrayList<>();
-        for (Exchange x : table.values()) {
-            if (!x.answered && x.told && now - x.dueUs >= OVERDUE_US) {
-                over.add(x);
-            }
-        }
-        if (!over.isEmpty()) {
-            log.line("the loop stood still: " + over.size() + " requests were over by then, failed first");
-            for (Exchange x : over) {
-                answerFailed(x);
-                event(() -> router.onAborted(now(), x.id, this));
-            }
-        }
-    }
-
     private void overdue(Exchange x) {
         if (!held.isEmpty()) {
             x.overdue = after(2 * HOLD_US, () -> overdue(x)); // the module has not heard of it yet
