What crosses with a leaving client, an ending proxy, a closing node or a move is answered or withdrawn

Seen: with logs: n3 told to end at 23.406, 'ending with requests open' at 27.001, lost; the site's deadlines are 6 and 8 s, Service.DRAIN_MOST_MS ends the process after 3.6 s with what is open. Ruled out: a crash, the node (it answered others), the last read. By eye, each then forced over sockets: ClientSession.answer ended a connection with the last answer while commands stood in the decoder or the kernel; Listener.stop closed with connections still to be accepted; a session that is not read from (over 128 requests, behind lost framing, inside a command) never saw its client leave; NodeConnection.giveUp and dropUnsent left a half-written command in the channel; NodePool.pickIdle took a connection whose end lay unread; a dial to where a node was went on after a move. Change: the notice follows from the longest deadline, and what is open 0.1 s before its end fails; a connection ends once nothing read, held or unread is left; accepting goes on until a round brings none; an unread session with a request open is read a buffer at a time each 0.1 s; half-written is closed; unsafe and keyed requests first read what has come on a connection that rested; dials to a former address are dropped.

--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -31,6 +31,10 @@
     private static final double COST_BYTES = 4 << 10;
     private static final int PAUSE_MS = 500;
     private static final long STUCK_US = 100_000;
+    /** What waits for a client that has left is withdrawn within 0.3 s: it has to be noticed by then. */
+    private static final long LOOK_US = 100_000;
+    /** More that waits to be read as commands is not looked behind for an end. */
+    private static final int MOST_AHEAD = 8 << 10;
 
     /** A request's place in the order of answers. */
     static final class Slot {
@@ -81,6 +85,10 @@
     /** The decoder holds bytes that it may not read yet; and since when such were held, 0 for none. */
     private boolean behind;
     private long heldUs;
+    private boolean looks;
+    private boolean lastRead;
+    /** All that was asked is answered, but commands that were read wait for their turn. */
+    private boolean restDue;
     private boolean inRead;
     private boolean dirty;
     private long untaken;
@@ -254,7 +262,8 @@
             paused = true;
             channel.eventLoop().schedule(() -> {
                 paused = false;
-                heldUs = heldUs == 0 ? now : heldUs; // what came meanwhile has waited with the kernel
+                // what came meanwhile has waited with the kernel
+                heldUs = heldUs == 0 ? now : Math.min(heldUs, now);
                 proxy.afterReading(() -> heldUs = behind ? heldUs : 0);
                 goOn();
                 throttle();
@@ -268,6 +277,7 @@
         Slot slot = new Slot();
         slots.add(slot);
         closing = true;
+        unread = true; // read on, but for an end of it
         answer(slot, line);
     }
 
@@ -286,12 +296,36 @@
         boolean reading = !unread && channel.config().isAutoRead(); // else what is missing may be with us
         proxy.admission.said(this, reading && decoder.partial(), whole);
         whole = false;
+        if (restDue) {
+            rest();
+        }
     }
 
     /** Bounded memory: a client that asks without end or does not read its answers is not read from. */
     private void throttle() {
         boolean room = !closing && slots.size() < MOST_WAITING && channel.isWritable();
         channel.config().setAutoRead(!paused && !lost && !behind && (unread || room));
+        lookForEnd();
+    }
+
+    /**
+     * Danger: an end or a reset of a client that is not read from shows to nobody, and what it had asked for
+     * was sent on long after it had left. So while a request of its waits, it is read a little at times.
+     */
+    private void lookForEnd() {
+        if (looks || channel.config().isAutoRead() || slots.stream().noneMatch(s -> s.exchange != null)) {
+            return;
+        }
+        looks = true;
+        proxy.after(LOOK_US, () -> {
+            looks = false;
+            if (channel.isActive() && !channel.config().isAutoRead() && decoder.waiting() < MOST_AHEAD) {
+                channel.read(); // once: without reading by itself one buffer is read
+            }
+            if (channel.isActive()) {
+                lookForEnd();
+            }
+        });
     }
 
     @Override
@@ -345,14 +379,32 @@
         if (slots.isEmpty()) {
             if (lost) {
                 channel.eventLoop().schedule(() -> channel.close(), PAUSE_MS, TimeUnit.MILLISECONDS);
-            } else if (closing || leaving) {
-                end();
             } else {
-                proxy.idle(this);
+                rest();
             }
         }
     }
 
+    /**
+     * It has nothing to answer. Danger: commands that were read, and wait for their turn or stand behind this
+     * one in the same read, have been taken: a connection closed as idle lost them without an answer.
+     */
+    private void rest() {
+        restDue = inRead || behind && !unread;
+        if (!slots.isEmpty() || restDue) {
+            return;
+        }
+        if (leaving && !lastRead) {
+            lastRead = true;
+            Kernel.read(channel); // a command that has come is taken: ended now, it would have no answer
+            rest();
+        } else if (closing || leaving) {
+            end();
+        } else {
+            proxy.idle(this);
+        }
+    }
+
     void abort() {
         channel.close();
     }
@@ -364,7 +416,7 @@
     void close() {
         leaving = true;
         if (slots.isEmpty()) {
-            end();
+            rest();
         }
     }
 
--- a/proxy/src/main/java/holdproxy/net/Discovery.java
+++ b/proxy/src/main/java/holdproxy/net/Discovery.java
@@ -476,7 +476,9 @@
             }
         }
 
-        /** Fed by lines: behind what cannot be read it goes on with the next, and a drain may be told there. */
+        /**
+         * Fed by lines: behind what cannot be read it goes on with the next, and a drain may be told there.
+         */
         private void content(ByteBuf content) {
             byte[] bytes = ByteBufUtil.getBytes(content);
             for (int from = 0; from < bytes.length && !over;) {
@@ -502,7 +504,8 @@
             size += next - from;
             try {
                 objects.feed(bytes, from, next);
-                for (Map<String, Object> list = objects.next(); list != null && !over; list = objects.next()) {
+                Map<String, Object> list = objects.next();
+                for (; list != null && !over; list = objects.next()) {
                     listEnded();
                     list(list);
                 }
--- a/proxy/src/main/java/holdproxy/net/Listener.java
+++ b/proxy/src/main/java/holdproxy/net/Listener.java
@@ -18,6 +18,8 @@
     private static final int BACKLOG = 512;
     private static final int BIND_TRIES = 30;
     private static final int BIND_WAIT_MS = 100;
+    /** Of accepting what came before the end; at least 2 ms each. */
+    private static final int MOST_ROUNDS = 50;
 
     private final Proxy proxy;
     private final Config config;
@@ -26,6 +28,8 @@
     private final Promise<Void> open;
     private final Promise<Void> drained;
     private Channel channel;
+    private int accepted;
+    private int rounds;
     private int tries;
     private boolean draining;
     private boolean stopped;
@@ -72,6 +76,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
+                accepted++;
                 Command.Decoder decoder = proxy.decoder();
                 ch.pipeline().addLast(decoder, new ClientSession(proxy, decoder));
             }
@@ -94,9 +99,14 @@
 
     /** What came during a pause of the loop has been taken by the kernel: it is accepted and read first. */
     private void stop() {
+        int before = accepted;
         proxy.afterReading(() -> {
-            channel.close();
-            proxy.afterReading(this::closeAll);
+            if (accepted != before && rounds++ < MOST_ROUNDS) {
+                stop(); // a round accepts a few: those behind them would be reset with their requests
+            } else {
+                channel.close();
+                proxy.afterReading(this::closeAll);
+            }
         });
     }
 
--- a/proxy/src/main/java/holdproxy/net/MetaDecoder.java
+++ b/proxy/src/main/java/holdproxy/net/MetaDecoder.java
@@ -54,6 +54,11 @@
         return !lost && block == null && actualReadableBytes() > 0;
     }
 
+    /** How many bytes wait to be read as messages. */
+    final int waiting() {
+        return actualReadableBytes();
+    }
+
     /** Goes on with what waits. */
     final void resume() throws Exception {
         channelRead(context, Unpooled.EMPTY_BUFFER);
--- a/proxy/src/main/java/holdproxy/net/NodeConnection.java
+++ b/proxy/src/main/java/holdproxy/net/NodeConnection.java
@@ -7,6 +7,10 @@
 import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.function.Predicate;
 
 /** One connection to a cache node, with the attempts on it in the order of their answers. */
 final class NodeConnection extends SimpleChannelInboundHandler<Answer> {
@@ -52,7 +56,19 @@
     }
 
     boolean usable() {
-        return !closed && !retired && (!up || channel.isActive());
+        return !closed && !retired && (!up || channel.isActive()) && to.equals(pool.address);
+    }
+
+    /**
+     * Danger: an end that has come and lies unread, as of a node that closes idle connections early, is a
+     * reset behind the last byte for what is written now, which may then not be sent again. What has come is
+     * read first.
+     */
+    boolean usableForCertain() {
+        if (up) {
+            Kernel.read(channel);
+        }
+        return usable();
     }
 
     /** Whether only safe requests may use it. */
@@ -73,6 +89,7 @@
      * read it might do so after its request has been answered, or the node told to drain.
      */
     private void writeNext() {
+        drop(a -> a.exchange.answered); // while it waited: its client may have left
         for (Attempt a : line) {
             if (a.handed && !a.written) {
                 return;
@@ -97,16 +114,36 @@
         });
     }
 
-    /** What has not been handed to the channel yet ends here: it may go elsewhere. */
+    /**
+     * What has not gone out whole ends here: it never runs and may go elsewhere. Danger: what a node does not
+     * take would be written when it reads again, long after it was to get nothing new.
+     */
     void dropUnsent() {
-        for (int left = line.size(); left > 0; left--) {
-            Attempt a = line.poll();
-            if (a.handed) {
-                line.add(a);
-            } else {
+        drop(a -> true);
+        for (Attempt a : line) {
+            if (!a.written && !a.over) {
+                line.remove(a);
                 end(a, Ending.NOT_SENT, null);
+                close();
+                return; // one at a time is being written
+            }
+        }
+    }
+
+    /** All are taken out before the first is ended: what that brings about may come to this connection. */
+    private void drop(Predicate<Attempt> which) {
+        List<Attempt> dropped = null;
+        for (Iterator<Attempt> i = line.iterator(); i.hasNext();) {
+            Attempt a = i.next();
+            if (!a.handed && which.test(a)) {
+                i.remove();
+                dropped = dropped == null ? new ArrayList<>(1) : dropped;
+                dropped.add(a);
             }
         }
+        if (dropped != null) {
+            dropped.forEach(a -> end(a, Ending.NOT_SENT, null));
+        }
     }
 
     @Override
@@ -118,15 +155,9 @@
             return;
         }
         up = true;
-        for (int left = line.size(); left > 0; left--) {
-            Attempt a = line.poll();
-            if (a.exchange.answered || pool.pools.proxy.now() - a.sentUs > a.waitUs) {
-                // by another attempt meanwhile, or in a pause: nothing more is sent for it
-                end(a, Ending.NOT_SENT, null);
-            } else {
-                line.add(a);
-            }
-        }
+        // answered by another attempt meanwhile, its client gone, or out of time in a pause: nothing is sent
+        // for it
+        drop(a -> a.exchange.answered || pool.pools.proxy.now() - a.sentUs > a.waitUs);
         writeNext();
         if (line.isEmpty()) {
             pool.idle(this);
@@ -168,9 +199,11 @@
 
     /**
      * The wait for an attempt is over. With no other live attempt in line the connection is closed, which
-     * tells the node. Otherwise it takes nothing new, and the late answer is read and thrown away in its
-     * turn: taken for the next attempt's it would serve a client another's value. Returns whether the attempt
-     * may run or have run. If not it may be sent elsewhere, so its bytes must not go out from here later.
+     * tells the node, and so it is where not all of it has gone out: what the channel holds of it would go
+     * out whenever the node reads again, for a client long gone. Otherwise it takes nothing new, and the late
+     * answer is read and thrown away in its turn: taken for the next attempt's it would serve a client
+     * another's value. Returns whether the attempt may run or have run. If not it may be sent elsewhere, so
+     * its bytes must not go out from here later.
      */
     boolean giveUp(Attempt a) {
         a.over = true;
@@ -182,7 +215,7 @@
             return false;
         }
         retired = true;
-        if (line.stream().anyMatch(other -> !other.over)) {
+        if (a.written && line.stream().anyMatch(other -> !other.over)) {
             return true;
         }
         boolean written = a.written;
--- a/proxy/src/main/java/holdproxy/net/NodeList.java
+++ b/proxy/src/main/java/holdproxy/net/NodeList.java
@@ -41,6 +41,8 @@
         for (Router.Node n : nodes) {
             if (n.state != Router.NodeState.READY) {
                 left(n.id, n.state == Router.NodeState.GONE);
+            } else {
+                pools.told(n.id);
             }
         }
         if (kind == Router.ListKind.FULL || kind == Router.ListKind.CACHED) {
--- a/proxy/src/main/java/holdproxy/net/NodePool.java
+++ b/proxy/src/main/java/holdproxy/net/NodePool.java
@@ -59,8 +59,8 @@
     }
 
     private NodeConnection rested(boolean safe) {
-        NodeConnection rested = safe ? pickIdle(doubtful) : null;
-        return rested != null ? rested : pickIdle(idle);
+        NodeConnection rested = safe ? pickIdle(doubtful, safe) : null;
+        return rested != null ? rested : pickIdle(idle, safe);
     }
 
     /** The one with the fewest requests on it, where connections may carry more than one. */
@@ -77,11 +77,11 @@
         return best;
     }
 
-    private NodeConnection pickIdle(ArrayDeque<NodeConnection> from) {
+    private NodeConnection pickIdle(ArrayDeque<NodeConnection> from, boolean safe) {
         while (!from.isEmpty()) {
             NodeConnection c = from.pollLast();
             stopTimer(c);
-            if (c.usable()) {
+            if (safe ? c.usable() : c.usableForCertain()) {
                 return c;
             }
         }
@@ -153,6 +153,17 @@
         }
     }
 
+    /**
+     * The list that moves it has been told: what waits to be written to where the node was goes elsewhere.
+     */
+    void moved() {
+        for (NodeConnection c : List.copyOf(all)) {
+            if (!c.to.equals(address)) {
+                c.dropUnsent();
+            }
+        }
+    }
+
     void closeIdle() {
         while (closeOldest()) {
             // until none is left
--- a/proxy/src/main/java/holdproxy/net/NodePools.java
+++ b/proxy/src/main/java/holdproxy/net/NodePools.java
@@ -65,6 +65,14 @@
         }
     }
 
+    /** The module knows of the list in which the node may have moved. */
+    void told(int id) {
+        NodePool pool = byId.get(id);
+        if (pool != null) {
+            pool.moved();
+        }
+    }
+
     /** The node has left the list, or takes nothing new. */
     void leave(int id, boolean gone) {
         NodePool pool = byId.get(id);
--- a/proxy/src/main/java/holdproxy/net/ObjectStream.java
+++ b/proxy/src/main/java/holdproxy/net/ObjectStream.java
@@ -15,8 +15,8 @@
 
 /**
  * JSON objects one after the other, as they come: on a line each or indented over many, parted anywhere. The
- * parser tells where one ends. Danger: a list that was taken for ended at a line feed could not be read where it
- * came indented, and no change of it was ever heard.
+ * parser tells where one ends. Danger: a list that was taken for ended at a line feed could not be read where
+ * it came indented, and no change of it was ever heard.
  */
 final class ObjectStream {
     private static final JsonFactory FACTORY = new JsonFactory();
@@ -54,7 +54,10 @@
         return !open.isEmpty();
     }
 
-    /** The next whole object, null where none has come; after what is none it begins anew with what is fed next. */
+    /**
+     * The next whole object, null where none has come; after what is none it begins anew with what is fed
+     * next.
+     */
     Map<String, Object> next() {
         try {
             for (JsonToken t = parser.nextToken(); t != JsonToken.NOT_AVAILABLE; t = parser.nextToken()) {
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -40,6 +40,11 @@
     private static final long OVERDUE_US = 15_000;
     /** A greeting is answered after this, with a node or without. */
     static final long GREETING_MOST_US = 2_000_000;
+    /** SIGKILL comes no sooner after SIGTERM than the longest deadline, 3 s at most, and 0.7 s. */
+    private static final long MOST_NOTICE_US = 3_000_000;
+    private static final long AFTER_NOTICE_US = 600_000;
+    /** Before the process ends: for the last answers to be written and the connections to end. */
+    private static final long LAST_WORD_US = 100_000;
     static final String FAILED = "SERVER_ERROR failed";
     private static final String UNSAID = "fault: one that cannot be said";
     private static final long TICK_US = 20_000;
@@ -80,6 +85,7 @@
     private boolean retired;
     private boolean ready;
     private boolean heard;
+    private boolean lastAnswered;
     private boolean begun;
     /** Events that wait until what came during a pause is read, and after what pause they do. */
     private final ArrayDeque<Runnable> held = new ArrayDeque<>();
@@ -396,7 +402,7 @@
 
     Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
         if (table.size() >= Math.min(MOST_OPEN, config.settings.maxOpen)
-                || heldBytes + c.valueBytes() > MOST_HELD_BYTES) {
+                || heldBytes + c.valueBytes() > MOST_HELD_BYTES || lastAnswered) {
             boolean may = !c.repeat || config.settings.classes[c.requestClass].outlasts(config.settings);
             counts.ended(c, may ? Counts.End.REFUSED : Counts.End.FAILED);
             session.answer(slot, may ? busy() : FAILED); // an earlier try may have run
@@ -565,9 +571,9 @@
     }
 
     /**
-     * The watch speaks, and what it had to tell is taken in. Danger: where lists are pushed, what the agent has
-     * counts as told before this process began, and a client served from the old list was sent to a node that
-     * had drained long ago.
+     * The watch speaks, and what it had to tell is taken in. Danger: where lists are pushed, what the agent
+     * has counts as told before this process began, and a client served from the old list was sent to a node
+     * that had drained long ago.
      */
     void heard() {
         heard = true;
@@ -708,6 +714,33 @@
     /** On the loop. Done once all that was taken is answered and all client connections have ended. */
     Future<Void> drain(long openMs) {
         log.line("ending: " + table.size() + " requests open");
+        after(noticeUs() - LAST_WORD_US, this::lastAnswers);
         return listener.drain(openMs);
     }
+
+    /**
+     * The time from SIGTERM to SIGKILL: for the longest deadline, at most 3 s of it, and a little for the
+     * rest.
+     */
+    long noticeUs() {
+        long longest = 0;
+        for (Router.RequestClass c : config.settings.classes) {
+            longest = Math.max(longest, c.deadlineUs > 0 ? c.deadlineUs : MOST_NOTICE_US);
+        }
+        return Math.min(longest, MOST_NOTICE_US) + AFTER_NOTICE_US;
+    }
+
+    /**
+     * Danger: where a client may wait for longer than the notice, its request was open when the process
+     * ended, and lost. It fails in time instead: that it ran is left open.
+     */
+    private void lastAnswers() {
+        lastAnswered = true;
+        for (Exchange x : List.copyOf(table.values())) {
+            if (!x.answered) {
+                answerFailed(x);
+                event(() -> router.onAborted(now(), x.id, this));
+            }
+        }
+    }
 }
--- a/proxy/src/main/java/holdproxy/net/Service.java
+++ b/proxy/src/main/java/holdproxy/net/Service.java
@@ -22,7 +22,6 @@
     static final int LOOP_DEAD = 70;
     /** After SIGTERM new connections still come for 0.4 s; what comes after 0.7 s may be cut off. */
     static final long DRAIN_OPEN_MS = 500;
-    private static final long DRAIN_MOST_MS = 3_600;
     private static final long LAST_LINES_MS = 200;
 
     private final LogWriter writer = new LogWriter(System.err);
@@ -101,10 +100,11 @@
 
     private void drain(EventLoop loop, Proxy proxy) {
         try {
-            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_MOST_MS);
+            long most = TimeUnit.MICROSECONDS.toNanos(proxy.noticeUs());
+            long end = System.nanoTime() + most;
             // bounded in all: a loop that hangs must not keep the process
             Future<Void> drained = loop.submit(() -> proxy.drain(DRAIN_OPEN_MS))
-                .get(DRAIN_MOST_MS, TimeUnit.MILLISECONDS);
+                .get(most, TimeUnit.NANOSECONDS);
             boolean all = drained.await(end - System.nanoTime(), TimeUnit.NANOSECONDS);
             log.line(all ? "ended" : "ending with requests open");
             if (control != null) {
--- a/proxy/src/test/java/holdproxy/net/Arrivals.java
+++ b/proxy/src/test/java/holdproxy/net/Arrivals.java
@@ -40,6 +40,12 @@
         throw new AssertionError("nothing came to any node");
     }
 
+    /** The same, also at a node's connection that the test has taken itself. */
+    Peer nextOr(Peer client, Peer known) throws IOException {
+        peers.put(known, 0);
+        return nextOr(client);
+    }
+
     /** The node at which this connection came. */
     int node(Peer p) {
         return peers.get(p);
--- /dev/null
+++ b/proxy/src/test/java/holdproxy/net/LeavingCrossingTest.java
@@ -0,0 +1,170 @@
+package holdproxy.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A client leaves while its request waits: what was not sent on is not sent on any more. */
+@Timeout(60)
+class LeavingCrossingTest {
+    /** Longer than any wait here: what is seen before was not brought about by a deadline. */
+    private static final int PATIENCE_MS = 60_000;
+
+    private static String patient(String settings) {
+        return settings.replace("\"deadlineMs\":5000.0", "\"deadlineMs\":" + PATIENCE_MS + ".0");
+    }
+
+    private interface Leave {
+        void by(Peer client) throws Exception;
+    }
+
+    private static final List<Leave> WAYS = List.of(Peer::close, Peer::reset, c -> c.socket.shutdownOutput());
+
+    /** Ends its client's request while the connection is not read from, and sees it withdrawn at the node. */
+    private static void withdrawn(String more, boolean told) throws Exception {
+        for (Leave way : WAYS) {
+            try (Fixture f = new Fixture(1, LeavingCrossingTest::patient, 1024)) {
+                Peer client = f.client();
+                client.send(Fixture.read("a1", PATIENCE_MS) + more);
+                Peer node = f.nodes.get(0).next();
+                assertEquals("Oa1", Arrivals.command(node));
+                if (told) {
+                    f.loop.submit(() -> f.proxy.admission.all().forEach(s -> s.fail("CLIENT_ERROR no end"))).get();
+                }
+                way.by(client);
+                node.expectEnd();
+            }
+        }
+    }
+
+    @Test
+    void itIsSeenWhereNothingWaits() throws Exception {
+        withdrawn("", false);
+    }
+
+    /** Danger: behind a lost framing the connection is read no more, and its end was never seen. */
+    @Test
+    void itIsSeenBehindALostFraming() throws Exception {
+        withdrawn("x".repeat(3000) + "\r\n", false);
+    }
+
+    @Test
+    void itIsSeenBehindACommandThatDoesNotEnd() throws Exception {
+        withdrawn("ms 7f3a9c21e0b4d655 5 Oa2 Pc=charge,t=acme,d=4000,k=5c0f\r\nhel", true);
+    }
+
+    /** Danger: over the bound on what one connection may ask it is read no more, and its end was never seen. */
+    @Test
+    void itIsSeenOverTheBoundOnWhatOneMayAsk() throws Exception {
+        for (Leave way : WAYS) {
+            try (Fixture f = new Fixture(1, LeavingCrossingTest::patient, 1024)) {
+                StringBuilder all = new StringBuilder();
+                for (int i = 0; i < 130; i++) {
+                    all.append(Fixture.read("a" + i, PATIENCE_MS));
+                }
+                Peer client = f.client();
+                client.send(all.toString());
+                List<Peer> nodes = new ArrayList<>();
+                for (int i = 0; i < 128; i++) {
+                    nodes.add(f.nodes.get(0).next());
+                }
+                way.by(client);
+                for (Peer node : nodes) {
+                    Arrivals.command(node);
+                    node.expectEnd();
+                }
+                for (Peer node = f.nodes.get(0).poll(); node != null; node = f.nodes.get(0).poll()) {
+                    assertEquals(null, node.line(), "sent on behind its client's end");
+                }
+            }
+        }
+    }
+
+    /** Where the settings forbid to withdraw, what waits for its connection is not sent on all the same. */
+    @Test
+    void whatWaitsForItsConnectionIsNotSentOn() throws Exception {
+        for (String cancel : new String[] {"true", "false"}) {
+            for (Leave way : WAYS) {
+                try (Fixture f = new Fixture(1, s -> patient(s).replace("\"mayCancel\":true", "\"mayCancel\":" + cancel)
+                        .replace("\"dialTimeoutMs\":400.0", "\"dialTimeoutMs\":9000.0")
+                        .replace("\"drainGraceMs\":1000.0", "\"drainGraceMs\":40000.0")
+                        .replace("\"multiplex\":1", "\"multiplex\":4")
+                        .replace("\"secondCopies\":false", "\"secondCopies\":true"), 1024);
+                        Peer.Deaf deaf = new Peer.Deaf()) {
+                    Fixture.toldAndEnded(f.watch(), Fixture.list(2, true, f.entry(0, "SERVING").replace("s-0", "s-9")
+                        .replace(f.nodes.get(0).address(), deaf.address())));
+                    Peer client = f.client();
+                    Peer other = f.client();
+                    client.send(Fixture.read("a1", PATIENCE_MS));
+                    other.send(Fixture.read("b1", PATIENCE_MS));
+                    until(f, 2);
+                    way.by(client);
+                    until(f, cancel.equals("true") ? 1 : 2, 1);
+                    Peer node = deaf.hear();
+                    assertEquals("Ob1", Arrivals.command(node));
+                    node.send("VA 1 Ob1\r\n1\r\n");
+                    other.expect("VA 1 Ob1", "1");
+                    assertFalse(node.ready());
+                }
+            }
+        }
+    }
+
+    private static void until(Fixture f, long requests) throws Exception {
+        until(f, requests, 2);
+    }
+
+    private static void until(Fixture f, long requests, int clients) throws Exception {
+        while (f.loop.submit(() -> f.proxy.held().get("requests") != requests
+                || f.proxy.admission.count() != clients).get()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /**
+     * On a connection that others use, whose node does not read. Danger: what the channel held went out whenever
+     * it read again: for a client long gone, or to a node that drains since.
+     */
+    @Test
+    void whatIsOnlyHalfWrittenEndsItsConnection() throws Exception {
+        for (boolean drains : new boolean[] {false, true}) {
+            try (Fixture f = new Fixture(1, s -> patient(s).replace("\"multiplex\":1", "\"multiplex\":100")
+                    .replace("\"secondCopies\":false", "\"secondCopies\":true"), 1024)) {
+                Peer other = f.client();
+                other.send(Fixture.read("b1", PATIENCE_MS));
+                Peer node = f.nodes.get(0).next();
+                assertEquals("Ob1", Arrivals.command(node));
+                String value = "v".repeat(64 << 10);
+                List<Peer> clients = new ArrayList<>();
+                for (int i = 0; i < 90; i++) { // 5.9 MB: more than the kernel takes for a peer that does not read
+                    Peer client = f.client();
+                    clients.add(client);
+                    client.send("ms 7f3a9c21e0b4d655 " + value.length() + " Oc" + i + " Pc=charge,t=acme,d="
+                        + PATIENCE_MS + ",k=5c0f\r\n" + value + "\r\n");
+                    until(f, i + 2, i + 2);
+                }
+                if (drains) {
+                    Fixture.toldAndEnded(f.watch(), Fixture.list(2, true, f.entry(0, "DRAINING")));
+                } else {
+                    for (Peer client : clients) {
+                        client.close();
+                    }
+                    while (f.loop.submit(() -> f.proxy.admission.count() != 1).get()) {
+                        Thread.onSpinWait();
+                    }
+                }
+                int whole = 0;
+                for (String line = node.line(); line != null; line = node.line()) {
+                    whole += line.length() == value.length() ? 1 : 0;
+                }
+                assertTrue(whole < 90, "the kernel has taken all: " + whole);
+                assertTrue(node.rest() > 0, "all of it went out");
+            }
+        }
+    }
+}
--- a/proxy/src/test/java/holdproxy/net/Peer.java
+++ b/proxy/src/test/java/holdproxy/net/Peer.java
@@ -23,6 +23,7 @@
 
     final Socket socket;
     private final InputStream in;
+    private int rest;
 
     Peer(Socket socket) throws IOException {
         this.socket = socket;
@@ -45,11 +46,17 @@
         return in.available() > 0;
     }
 
+    /** How many bytes stood behind the last whole line when the stream ended. */
+    int rest() {
+        return rest;
+    }
+
     /** The next line without its end; null at the end of the stream. */
     String line() throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int b = in.read(); b != '\n'; b = in.read()) {
             if (b < 0) {
+                rest = line.size();
                 return null;
             }
             line.write(b);
