Names beyond ASCII are known, and the rehearsal leaves out what no command can name

Need: names come from the settings alone. Seen: lines are read a byte a character and names were looked up as text, so a class 'busqueda' with its accent was unknown and each of its requests turned away; with a comma, a space or nothing in a name the rehearsal was turned away and took its 2 s. Change: names are kept as their bytes stand in a line (Command.onWire); Rehearsal takes those that a command can hold, and says so where there are none.

--- a/proxy/src/main/java/holdproxy/net/Command.java
+++ b/proxy/src/main/java/holdproxy/net/Command.java
@@ -136,6 +136,19 @@
         }
     }
 
+    /**
+     * A name of the settings as it stands in a line, which is read a byte a character. Danger: a class or
+     * tenant with a letter beyond ASCII was known to nobody, and all its requests were turned away.
+     */
+    static String onWire(String name) {
+        return new String(name.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Whether a command can hold this name: commas part the fields of P, and white space the words. */
+    static boolean canName(String name) {
+        return !name.isEmpty() && name.chars().noneMatch(c -> c == ',' || c <= ' ');
+    }
+
     void value(byte[] bytes) {
         value = bytes;
     }
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -123,10 +123,10 @@
         coming.relief(admission::takeBack);
         names = new Command.Names(new HashMap<>(), new HashMap<>());
         for (int i = 0; i < config.settings.classes.length; i++) {
-            names.classes().put(config.settings.classes[i].name, i);
+            names.classes().put(Command.onWire(config.settings.classes[i].name), i);
         }
         for (int i = 0; i < config.settings.tenants.length; i++) {
-            names.tenants().put(config.settings.tenants[i].name, i);
+            names.tenants().put(Command.onWire(config.settings.tenants[i].name), i);
         }
         int mostNodeSockets = left - mostSessions - Admission.MOST_REFUSING;
         pools = new NodePools(this, config, loop, machine, log, mostNodeSockets);
--- a/proxy/src/main/java/holdproxy/net/Rehearsal.java
+++ b/proxy/src/main/java/holdproxy/net/Rehearsal.java
@@ -19,6 +19,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -46,7 +47,10 @@
 
     private final EventLoop loop;
     private final Proxy proxy;
-    private final Router.Settings settings;
+    /** Those that a command can name: with others it was turned away, and went on for its whole time. */
+    private final List<Router.RequestClass> classes;
+    private final List<Router.Tenant> tenants;
+    private final boolean anybody;
     /** Dialled by name only. */
     private final SocketAddress nowhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
     private final Promise<Void> done;
@@ -58,7 +62,9 @@
 
     private Rehearsal(Config config, EventLoop loop) {
         this.loop = loop;
-        settings = config.settings;
+        classes = Arrays.stream(config.settings.classes).filter(c -> Command.canName(c.name)).toList();
+        tenants = Arrays.stream(config.settings.tenants).filter(t -> Command.canName(t.name)).toList();
+        anybody = !classes.isEmpty() && (!tenants.isEmpty() || config.settings.tenants.length == 0);
         done = loop.newPromise();
         Machine machine = new Machine(() -> PipeChannel.to(new ChannelInitializer<Channel>() {
             @Override
@@ -94,7 +100,10 @@
         }
         Rehearsal r = made.getNow();
         try {
-            loop.submit(r::begin).addListener(f -> {
+            loop.submit(() -> {
+                r.begin();
+                return null;
+            }).addListener(f -> {
                 if (!f.isSuccess()) {
                     r.done.tryFailure(f.cause());
                 }
@@ -109,7 +118,10 @@
         return r.answered;
     }
 
-    private void begin() {
+    private void begin() throws IOException {
+        if (!anybody) {
+            throw new IOException("no class, or no tenant, has a name that a command can hold");
+        }
         List<Discovery.Entry> entries = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
             Router.Node node = new Router.Node();
@@ -142,11 +154,10 @@
         if (i % 7 == 6) {
             return "mn\r\n";
         }
-        Router.RequestClass c = settings.classes[i % settings.classes.length];
-        int tenants = settings.tenants.length;
-        String tenant = tenants > 0 ? ",t=" + settings.tenants[i % tenants].name : "";
+        Router.RequestClass c = classes.get(i % classes.size());
+        String tenant = tenants.isEmpty() ? "" : ",t=" + Command.onWire(tenants.get(i % tenants.size()).name);
         long waitMs = Math.max(1, c.deadlineUs / 1000);
-        String fields = "O" + (1000 + i) + " Pc=" + c.name + tenant + ",d=" + waitMs;
+        String fields = "O" + (1000 + i) + " Pc=" + Command.onWire(c.name) + tenant + ",d=" + waitMs;
         return c.effect == Router.Effect.SAFE ? "mg 0123456789abcde" + i % 10 + " v " + fields + "\r\n"
             : "ms 0123456789abcde" + i % 10 + " 5 " + fields + ",k=" + i + "\r\nhello\r\n";
     }
--- a/proxy/src/test/java/holdproxy/net/RehearsalTest.java
+++ b/proxy/src/test/java/holdproxy/net/RehearsalTest.java
@@ -56,6 +56,48 @@
         }
     }
 
+    /** Danger: what it asked was turned away and it took its whole 2 s, where a name holds a comma or a space. */
+    @Test
+    void namesThatNoCommandCanHoldAreLeftOut() throws Exception {
+        for (String name : new String[] {"look,up", "look up", ""}) {
+            List<String> log = new ArrayList<>();
+            try (Fixture f = new Fixture(1, s -> s.replace("\"lookup\"", "\"" + name + "\""), 1024)) {
+                int served = Rehearsal.run(f.config, f.loop, new Log(System::nanoTime, log::add));
+                assertTrue(served > Rehearsal.REQUESTS * 2 / 3, "served " + served + " " + log);
+                assertEquals(List.of(), log);
+            }
+        }
+    }
+
+    @Test
+    void whereNobodyCanBeNamedItSaysSo() throws Exception {
+        List<String> log = new ArrayList<>();
+        try (Fixture f = new Fixture(1, s -> s.replace("\"acme\"", "\"acme, inc\""), 1024)) {
+            assertEquals(0, Rehearsal.run(f.config, f.loop, new Log(System::nanoTime, log::add)));
+            assertTrue(log.size() == 1 && log.get(0).contains("a name that a command can hold"), log.toString());
+        }
+    }
+
+    @Test
+    void namesBeyondAsciiAreKnown() throws Exception {
+        List<String> log = new ArrayList<>();
+        try (Fixture f = new Fixture(1,
+                s -> s.replace("\"lookup\"", "\"búsqueda\"").replace("\"acme\"", "\"コート\""), 1024)) {
+            int served = Rehearsal.run(f.config, f.loop, new Log(System::nanoTime, log::add));
+            assertTrue(served > Rehearsal.REQUESTS * 2 / 3, "served " + served + " " + log);
+            String line = Fixture.read("a1", 4000).replace("lookup", "búsqueda").replace("acme", "コート");
+            byte[] utf8 = line.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            Peer client = f.client();
+            client.socket.getOutputStream().write(utf8);
+            Peer node = f.nodes.get(0).next();
+            String sent = new String(node.line().getBytes(java.nio.charset.StandardCharsets.ISO_8859_1),
+                java.nio.charset.StandardCharsets.UTF_8);
+            assertTrue(sent.contains(" Oa1 Pc=búsqueda,t=コート,d="), sent);
+            node.send("VA 1 Oa1\r\n1\r\n");
+            client.expect("VA 1 Oa1", "1");
+        }
+    }
+
     /** Danger: a proxy that is restarted often fills the folder of temporary files, which counts as memory. */
     @Test
     void nothingIsLeftOfIt() throws Exception {
