Tests of moves: there and back, a drain at the old service meanwhile, a list that stops in the middle

Need: leads on a move of discovery, each forced over sockets. Seen by them: a move to B and back to A before B has spoken asks A for everything and hears its old watch meanwhile; a drain that the old service tells after the move has begun is heard; a first list that stops in the middle is not taken and asked for again. All three are refuted as faults. Change: three tests in WatchCrossingTest.

--- a/proxy/src/test/java/holdproxy/net/WatchCrossingTest.java
+++ b/proxy/src/test/java/holdproxy/net/WatchCrossingTest.java
@@ -202,4 +202,78 @@
             node.expectEnd();
         }
     }
+
+    private static void move(Fixture f, Peer.Listener to) throws Exception {
+        String[] at = to.address().split(":");
+        f.loop.submit(() -> f.proxy.discovery.move(new InetSocketAddress(at[0], Integer.parseInt(at[1])))).get();
+    }
+
+    /** A connection of the first node that rests: its end tells that a drain was heard. */
+    private static Peer resting(Fixture f, String id) throws Exception {
+        Peer client = f.client();
+        client.send(Fixture.read(id, 4000));
+        Peer node = f.nodes.get(0).next();
+        node.line();
+        node.send("VA 1 O" + id + "\r\n1\r\n");
+        client.expect("VA 1 O" + id, "1");
+        return node;
+    }
+
+    /** To another service and back before it has spoken: the first is asked for everything, and heard meanwhile. */
+    @Test
+    void aMoveThereAndBackEndsAtTheFirst() throws Exception {
+        try (Fixture f = new Fixture(1); Peer.Listener moved = new Peer.Listener()) {
+            Peer old = f.watch();
+            Peer node = resting(f, "a1");
+            move(f, moved);
+            Peer there = moved.next();
+            while (!there.line().isEmpty()) {
+                // the call
+            }
+            move(f, f.discovery);
+            there.expectEnd();
+            Peer fresh = f.discovery.next();
+            assertEquals("GET /registry/instances?stream=1&index=0 HTTP/1.1", fresh.line());
+            Fixture.chunk(old, Fixture.list(2, false, f.entry(0, "DRAINING")));
+            node.expectEnd();
+            fresh.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            Fixture.chunk(fresh, Fixture.list(2, true, f.entry(0, "DRAINING")));
+            old.expectEnd();
+        }
+    }
+
+    /** A drain that the old service tells after a move has begun is heard: the new one has not spoken. */
+    @Test
+    void theOldWatchIsHeardUntilTheNewServiceHasSpoken() throws Exception {
+        try (Fixture f = new Fixture(1); Peer.Listener moved = new Peer.Listener()) {
+            Peer old = f.watch();
+            Peer node = resting(f, "a1");
+            move(f, moved);
+            moved.next();
+            Fixture.chunk(old, Fixture.list(2, false, f.entry(0, "DRAINING")));
+            node.expectEnd();
+        }
+    }
+
+    /** Danger: a list that stops in the middle taken for a whole one makes the proxy forget the other nodes. */
+    @Test
+    void aNewServiceThatResetsInItsFirstListIsAskedAgain() throws Exception {
+        try (Fixture f = new Fixture(1); Peer.Listener moved = new Peer.Listener()) {
+            f.nodes.add(new Peer.Listener()); // not listed yet
+            Peer old = f.watch();
+            Peer node = resting(f, "a1");
+            move(f, moved);
+            Peer first = Fixture.watch(moved);
+            String list = Fixture.list(9, true, f.entry(1, "SERVING"), f.entry(0, "SERVING"));
+            String half = list.substring(0, list.indexOf("s-0"));
+            first.send(Integer.toHexString(half.length()) + "\r\n" + half + "\r\n");
+            first.reset();
+            Peer second = Fixture.watch(moved);
+            assertFalse(node.ready());
+            Fixture.chunk(old, Fixture.list(2, false, f.entry(0, "DRAINING")));
+            node.expectEnd(); // the old one was still heard
+            Fixture.chunk(second, Fixture.list(9, true, f.entry(1, "SERVING")));
+            old.expectEnd();
+        }
+    }
 }
