--- a/proxy/src/test/java/holdproxy/net/Peer.java
+++ b/proxy/src/test/java/holdproxy/net/Peer.java
@@ -99,7 +99,8 @@
         private final List<Peer> all = new CopyOnWriteArrayList<>();
 
         Listener() throws IOException {
-            server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+            // room for all that a test brings at once: a dial that the kernel drops comes up a second late
+            server = new ServerSocket(0, 1024, InetAddress.getLoopbackAddress());
             thread = new Thread(this::accept, "listener");
             thread.setDaemon(true);
             thread.start();
