--- a/fleet/src/test/java/holdproxy/agent/ProcFsTest.java
+++ b/fleet/src/test/java/holdproxy/agent/ProcFsTest.java
@@ -98,13 +98,13 @@
     void aRealProcessIsFoundByItsEnvironmentAndGoneWhenItIsAZombie() throws Exception {
         ProcFs real = new ProcFs(REAL);
         String mark = "LB_START=n0/1/" + ProcessHandle.current().pid() + "/" + System.nanoTime();
-        // its child ends at once, and is waited for by nobody: its parent becomes a sleep
-        ProcessBuilder b = new ProcessBuilder("sh", "-c", "read x & echo $!; exec cat");
+        // its child ends once its parent has become a cat, which waits for nobody: ended before, the shell reaps it
+        ProcessBuilder b = new ProcessBuilder("sh", "-c",
+            "(until [ \"$c\" = cat ]; do read c < /proc/$$/comm; done) & echo $!; exec cat");
         b.environment().put("LB_START", mark.substring(mark.indexOf('=') + 1));
         Process parent = b.start();
         try {
             long child = Long.parseLong(parent.inputReader().readLine());
-            // a shell's background job has /dev/null to read, and so ends
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
             while (real.identity(child) != null && System.nanoTime() < end) {
                 Thread.onSpinWait();
