--- a/proxy/src/test/java/holdproxy/net/EndCrossingTest.java
+++ b/proxy/src/test/java/holdproxy/net/EndCrossingTest.java
@@ -262,6 +262,11 @@
             assertTrue(client.line().startsWith("SERVER_ERROR busy"));
             client.send("nonsense\r\n" + Fixture.read("a2", 4000));
             client.expect("ERROR");
+            try (Peer barrier = f.client()) {
+                barrier.send("mn\r\n");
+                barrier.expect("MN");
+            }
+            assertTrue(client.ready(), "it waits as if there were time left");
             assertTrue(client.line().startsWith("SERVER_ERROR busy"));
         }
     }
--- a/proxy/src/test/java/holdproxy/net/RetryCrossingTest.java
+++ b/proxy/src/test/java/holdproxy/net/RetryCrossingTest.java
@@ -115,6 +115,32 @@
         }
     }
 
+    /**
+     * The same where what lies unread is an answer without an id. Danger: a second copy of it is taken for the
+     * charge's, and on the word of a busy that one is sent again or refused.
+     */
+    @Test
+    void anUnsafeRequestDoesNotShareAConnectionWhoseAnswerWithoutAnIdLiesUnread() throws Exception {
+        for (String cls : new String[] {"charge", "submit"}) {
+            HeldRequest hold = new HeldRequest();
+            try (Fixture f = new Fixture(1, RetryCrossingTest::shared, 1024, Fixture::allServing, hold::wrap)) {
+                Peer client = f.client();
+                Peer other = f.client();
+                other.send(Fixture.read("b1", PATIENCE_MS));
+                Peer node = f.nodes.get(0).next();
+                assertEquals("Ob1", Arrivals.command(node));
+                client.send(Fixture.write(cls, "c1", 4000).replace("d=", HeldRequest.SIZE + "d="));
+                hold.await();
+                node.send("SERVER_ERROR failed\r\n");
+                hold.goOn();
+                Peer fresh = f.nodes.get(0).next();
+                assertEquals("Oc1", Arrivals.command(fresh));
+                fresh.send("HD Oc1 c7\r\n");
+                client.expect("HD Oc1 c7");
+            }
+        }
+    }
+
     /**
      * A keyed write that may have run waits to be sent again, behind what its node does not read. Danger: written
      * once the node reads on, it came when its repeats were dropped no longer, and ran twice.
