What is half written when its window ends or its node drains never becomes whole

Seen, by reading: NodeConnection asked whether a keyed repeat was too late before it handed it to the channel (tooLateToRepeat), not while the channel wrote it. What a node does not read the channel holds, and writes whenever the node reads on; the selector's writes come before any timer. The repeat became whole when its node dropped repeats no longer, and ran twice. In the same way NodePool.leave took back what was not handed yet, not what was half written: its rest went to a draining node whenever that read on, and an unsafe request waited for it, which could have gone elsewhere.

Ruled out: a timer that closes the connection, since after a stand-still the channel writes before it runs; the last bytes as a write of their own, since a kernel that is just full made them wait, and they could not be told from late ones (seen as a request that was failed for nothing).

Change: a keyed repeat is written by TimedWrite, which is asked before each write and ends the connection when its time is over; a node that takes nothing new has its half-written connections closed. The lab's channel writes such messages as the real one does.

Measured: RetryCrossingTest forces both orders with kernels that hold 4 KB; each fails without its mend ("the whole value came"; "no connection came").

--- a/lab/src/main/java/holdproxy/lab/emulator/SimChannel.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/SimChannel.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FileRegion;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.ChannelInputShutdownReadComplete;
@@ -23,8 +24,10 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.SocketException;
+import java.nio.ByteBuffer;
 import java.nio.channels.AlreadyConnectedException;
 import java.nio.channels.ClosedChannelException;
+import java.nio.channels.WritableByteChannel;
 import java.nio.channels.ConnectionPendingException;
 import java.util.concurrent.TimeUnit;
 
@@ -296,7 +299,7 @@
 
     @Override
     protected Object filterOutboundMessage(Object message) {
-        if (message instanceof ByteBuf) {
+        if (message instanceof ByteBuf || message instanceof FileRegion) {
             return message;
         }
         throw new UnsupportedOperationException("unsupported message type: " + message.getClass().getName());
@@ -309,6 +312,16 @@
             if (!open) {
                 throw new ClosedChannelException();
             }
+            if (in.current() instanceof FileRegion region) {
+                region.transferTo(new Room(), region.transferred());
+                if (region.transferred() >= region.count()) {
+                    in.remove();
+                    continue;
+                }
+                writes = true;
+                socket.awaitRoom();
+                return;
+            }
             int room = socket.room();
             gather.count(in, room);
             if (gather.total == 0) {
@@ -330,7 +343,33 @@
         writes = false;
     }
 
-    /** Puts flushed buffers together, up to the room there is. */
+    /** What the kernel takes of a message that writes itself. */
+    private final class Room implements WritableByteChannel {
+        @Override
+        public int write(ByteBuffer from) throws IOException {
+            if (socket.wasReset()) {
+                throw new IOException("Broken pipe");
+            }
+            byte[] data = new byte[Math.max(0, Math.min(socket.room(), from.remaining()))];
+            if (data.length > 0) {
+                from.get(data);
+                socket.write(data);
+            }
+            return data.length;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return open;
+        }
+
+        @Override
+        public void close() {
+            throw new UnsupportedOperationException("whoever writes to it does not own it");
+        }
+    }
+
+    /** Puts flushed buffers together, up to the room there is or a message that writes itself. */
     private static final class Gather implements ChannelOutboundBuffer.MessageProcessor {
         private int most;
         private int total;
@@ -355,7 +394,9 @@
 
         @Override
         public boolean processMessage(Object message) {
-            ByteBuf b = (ByteBuf) message;
+            if (!(message instanceof ByteBuf b)) {
+                return false;
+            }
             if (into == null) {
                 total = (int) Math.min(most, (long) total + b.readableBytes());
                 return total < most;
--- a/lab/src/test/java/holdproxy/lab/emulator/SimChannelTest.java
+++ b/lab/src/test/java/holdproxy/lab/emulator/SimChannelTest.java
@@ -20,6 +20,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.DefaultFileRegion;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
@@ -41,11 +42,14 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Real Netty pipelines over the simulated net: between two programs, or a program and a stand-in. */
 final class SimChannelTest {
@@ -502,6 +506,33 @@
         assertEquals("ab", Told.text(sent.get(sent.size() - 1).data())); // in one piece, as gathered
     }
 
+    /** Danger: the proxy's writes that must be in time do not go through here, or past the kernel's room. */
+    @Test
+    void aMessageThatWritesItselfGoesInItsTurnAndAsTheKernelHasRoom(@TempDir Path folder) throws Exception {
+        Path file = Files.writeString(folder.resolve("x"), "x".repeat(400_000));
+        Told node = standIn();
+        ChannelFuture f = connect(120, new Seer());
+        run(1);
+        node.link.reading(false);
+        ChannelFuture before = f.channel().write(buffer("a"));
+        ChannelFuture itself = f.channel().write(new DefaultFileRegion(file.toFile(), 0, 400_000));
+        ChannelFuture behind = f.channel().writeAndFlush(buffer("b"));
+        run(50);
+        assertTrue(before.isSuccess());
+        assertFalse(itself.isDone());
+        assertEquals(256 << 10, bytes(events(Event.Kind.SENT, "proxy")));
+        node.link.reading(true);
+        run(50);
+        assertTrue(itself.isSuccess() && behind.isSuccess());
+        assertEquals("a" + "x".repeat(400_000) + "b", node.text.toString());
+        node.link.reading(false);
+        ChannelFuture broken = f.channel().writeAndFlush(new DefaultFileRegion(file.toFile(), 0, 400_000));
+        node.link.reset();
+        run(1);
+        assertInstanceOf(IOException.class, broken.cause());
+        assertFalse(f.channel().isOpen());
+    }
+
     /** Danger: what waits to be written when the other side goes is never told as failed. */
     @Test
     void waitingWritesFailWithAReset() {
--- a/proxy/src/main/java/holdproxy/net/NodeConnection.java
+++ b/proxy/src/main/java/holdproxy/net/NodeConnection.java
@@ -1,5 +1,6 @@
 package holdproxy.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -122,7 +123,10 @@
     private void write(Attempt a) {
         long waitUs = a.waitUs - (pool.pools.proxy.now() - a.sentUs);
         a.handed = true;
-        channel.writeAndFlush(a.exchange.command.encode(channel.alloc(), waitUs)).addListener(f -> {
+        ByteBuf bytes = a.exchange.command.encode(channel.alloc(), waitUs);
+        boolean timed = a.number > 0 && !a.exchange.safe;
+        Object command = timed ? new TimedWrite(bytes, () -> tooLateToRepeat(a)) : bytes;
+        channel.writeAndFlush(command).addListener(f -> {
             a.written = f.isSuccess();
             if (a.written && !closed && line.size() > 1) {
                 pool.pools.after(0, this::writeNext); // not from within its own loop
@@ -135,6 +139,18 @@
         drop(a -> true);
     }
 
+    /**
+     * The same where the node takes nothing new: what the channel holds of a command would go out whenever
+     * the node reads on, which may be after the grace in which its list is to be heeded. With its connection
+     * it never becomes whole, and goes elsewhere.
+     */
+    void dropUnwritten() {
+        dropUnsent();
+        if (line.stream().anyMatch(a -> a.handed && !a.written)) {
+            close();
+        }
+    }
+
     /** All are taken out before the first is ended: what that brings about may come to this connection. */
     private void drop(Predicate<Attempt> which) {
         List<Attempt> dropped = null;
--- a/proxy/src/test/java/holdproxy/net/Fixture.java
+++ b/proxy/src/test/java/holdproxy/net/Fixture.java
@@ -1,9 +1,12 @@
 package holdproxy.net;
 
 import holdproxy.Router;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -61,6 +64,11 @@
     /** {@code wrap}: what stands between the proxy and its module. */
     Fixture(int nodeCount, Function<String, String> change, int sockets, Function<Fixture, String> known,
             UnaryOperator<Router> wrap) throws IOException {
+        this(nodeCount, change, sockets, known, wrap, Machine.real());
+    }
+
+    Fixture(int nodeCount, Function<String, String> change, int sockets, Function<Fixture, String> known,
+            UnaryOperator<Router> wrap, Machine machine) throws IOException {
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(new Peer.Listener());
         }
@@ -68,16 +76,29 @@
         Files.writeString(file, json(known.apply(this), change.apply(SETTINGS), sockets));
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         config = Config.load(env(file, discovery.address()));
-        proxy = start(config, loop, wrap);
+        proxy = start(config, loop, wrap, machine);
         Files.delete(file);
     }
 
     static Proxy start(Config config, EventLoop loop, UnaryOperator<Router> wrap) {
-        Proxy proxy = Proxy.create(config, loop, Machine.real(), log(), wrap);
+        return start(config, loop, wrap, Machine.real());
+    }
+
+    private static Proxy start(Config config, EventLoop loop, UnaryOperator<Router> wrap, Machine machine) {
+        Proxy proxy = Proxy.create(config, loop, machine, log(), wrap);
         proxy.open();
         return proxy;
     }
 
+    /** One whose kernel takes about so many bytes for a node that does not read. */
+    static Machine holdsLittle(int bytes) {
+        return new Machine(() -> {
+            NioSocketChannel ch = new NioSocketChannel();
+            ch.config().setOption(ChannelOption.SO_SNDBUF, bytes);
+            return ch;
+        }, NioServerSocketChannel::new, System::currentTimeMillis);
+    }
+
     static Log log() {
         return new Log(System::nanoTime, System.err::println);
     }
--- a/proxy/src/test/java/holdproxy/net/Peer.java
+++ b/proxy/src/test/java/holdproxy/net/Peer.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -32,7 +33,7 @@
         in = new BufferedInputStream(socket.getInputStream());
     }
 
-    static Peer to(java.net.InetSocketAddress address) throws IOException {
+    static Peer to(InetSocketAddress address) throws IOException {
         return new Peer(new Socket(address.getAddress(), address.getPort()));
     }
 
@@ -99,8 +100,17 @@
         private final List<Peer> all = new CopyOnWriteArrayList<>();
 
         Listener() throws IOException {
+            this(0);
+        }
+
+        /** {@code takes}: about so many bytes the kernel takes for an end that does not read; 0 for its own bound. */
+        Listener(int takes) throws IOException {
+            server = new ServerSocket();
+            if (takes > 0) {
+                server.setReceiveBufferSize(takes);
+            }
             // room for all that a test brings at once: a dial that the kernel drops comes up a second late
-            server = new ServerSocket(0, 1024, InetAddress.getLoopbackAddress());
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024);
             thread = new Thread(this::accept, "listener");
             thread.setDaemon(true);
             thread.start();
--- a/proxy/src/test/java/holdproxy/net/RetryCrossingTest.java
+++ b/proxy/src/test/java/holdproxy/net/RetryCrossingTest.java
@@ -6,7 +6,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Where the end of an attempt crosses with something else: its time, its connection's end, the window for repeats. */
+/**
+ * Where the end of an attempt crosses with something else: its time, its connection's end, the window for repeats,
+ * a drain.
+ */
 @Timeout(60)
 class RetryCrossingTest {
     private static final int PATIENCE_MS = 60_000;
@@ -179,4 +182,94 @@
             clogged.expectEnd();
         }
     }
+
+    private static final int SMALL = 4096;
+    private static final String LARGE = "v".repeat(64 << 10);
+
+    private static String large(String cls, String id) {
+        return "ms 7f3a9c21e0b4d655 " + LARGE.length() + " O" + id + " Pc=" + cls + ",t=acme,d=" + PATIENCE_MS
+            + ",k=5c0f\r\n" + LARGE + "\r\n";
+    }
+
+    private static void half(Peer node, String id) throws Exception {
+        String line = node.line();
+        assertTrue(line.contains(" O" + id + " "), line); // and no more than that has been read
+    }
+
+    /** What has begun to come never becomes whole. */
+    private static void neverWhole(Peer node) throws Exception {
+        assertTrue(node.line() == null && node.rest() < LARGE.length(), "the whole value came");
+    }
+
+    /**
+     * A keyed write that may have run is being written again when its node stops reading. Danger: the channel wrote
+     * the rest of it as the node read on, when its repeats were dropped no longer, and it ran twice.
+     */
+    @Test
+    void aRepeatHalfWrittenDoesNotBecomeWholeOnceItsWindowIsOver() throws Exception {
+        try (Peer.Listener hangs = new Peer.Listener(SMALL);
+                Fixture f = new Fixture(1, s -> patient(s).replace("\"repeatWindowMs\":5000.0",
+                    "\"repeatWindowMs\":1500.0"), 1024, Fixture::allServing, module -> module, Fixture.holdsLittle(SMALL))) {
+            Peer client = f.client();
+            client.send(large("submit", "k1"));
+            Peer ran = f.nodes.get(0).next();
+            assertEquals("Ok1", Arrivals.command(ran));
+            long began = System.nanoTime();
+            Fixture.toldAndEnded(f.watch(), Fixture.list(2, false, Fixture.entry(1, "SERVING", hangs)));
+            ran.send("SERVER_ERROR failed\r\n");
+            Peer hung = hangs.next();
+            half(hung, "k1");
+            while (System.nanoTime() - began < 1_600_000_000L) {
+                Thread.onSpinWait(); // what is forced is that its window has passed
+            }
+            neverWhole(hung);
+            client.expect("SERVER_ERROR failed");
+        }
+    }
+
+    /** The other order: the node reads on in time, and the repeat is whole. */
+    @Test
+    void aRepeatHalfWrittenBecomesWholeInItsWindow() throws Exception {
+        try (Peer.Listener slow = new Peer.Listener(SMALL);
+                Fixture f = new Fixture(1, RetryCrossingTest::patient, 1024, Fixture::allServing, module -> module,
+                    Fixture.holdsLittle(SMALL))) {
+            Peer client = f.client();
+            client.send(large("submit", "k1"));
+            Peer ran = f.nodes.get(0).next();
+            assertEquals("Ok1", Arrivals.command(ran));
+            Fixture.toldAndEnded(f.watch(), Fixture.list(2, false, Fixture.entry(1, "SERVING", slow)));
+            ran.send("SERVER_ERROR failed\r\n");
+            Peer again = slow.next();
+            half(again, "k1");
+            assertTrue(LARGE.equals(again.line()), "the value came whole");
+            again.send("HD Ok1 c7\r\n");
+            client.expect("HD Ok1 c7");
+        }
+    }
+
+    /**
+     * A node is told to drain while it does not read what is being written to it. Danger: the rest went out whenever it
+     * read on, which may be after the grace, and the request waited for that.
+     */
+    @Test
+    void whatIsHalfWrittenAsItsNodeDrainsGoesElsewhere() throws Exception {
+        for (String cls : new String[] {"charge", "submit"}) {
+            try (Peer.Listener hangs = new Peer.Listener(SMALL);
+                    Fixture f = new Fixture(1, RetryCrossingTest::patient, 1024,
+                        g -> Fixture.list(1, true, Fixture.entry(1, "SERVING", hangs)), module -> module,
+                        Fixture.holdsLittle(SMALL))) {
+                Peer client = f.client();
+                client.send(large(cls, "c1"));
+                Peer hung = hangs.next();
+                half(hung, "c1");
+                Fixture.toldAndEnded(f.watch(), Fixture.list(2, false, Fixture.entry(1, "DRAINING", hangs),
+                    f.entry(0, "SERVING")));
+                Peer other = f.nodes.get(0).next();
+                assertEquals("Oc1", Arrivals.command(other));
+                other.send("HD Oc1 c7\r\n");
+                client.expect("HD Oc1 c7");
+                neverWhole(hung);
+            }
+        }
+    }
 }
