A slow client keeps its answers behind a line that cannot be read; two guards tested

Seen: ClientSession.answer closed a connection whose framing was lost half a second after its last answer was written, whatever of it had been taken. A client that takes 4 MB a second lost what it had asked for before that line (5,395,968 of 6,000,000 bytes came).

Change: endLost. What lies unread is thrown away first, since closing over it would be a reset; where something is untaken the connection ends as others do, which gives who takes steadily its time; else it is closed as before.

Two guards that no test held have one: open() for a connection that is closed in the middle of a read (without it "Oa2" is written at once on an idle connection), and rest()'s word to Admission for one that stops inside a command behind an answer it takes slowly (without it nothing ends it).

Measured: each test fails without its mend or guard; NobodyHarms, BadClients, LeavingCrossing, EndCrossing, StrictCommand pass.

--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -413,7 +413,7 @@
         }
         if (slots.isEmpty()) {
             if (lost) {
-                channel.eventLoop().schedule(() -> channel.close(), PAUSE_MS, TimeUnit.MILLISECONDS);
+                channel.eventLoop().schedule(this::endLost, PAUSE_MS, TimeUnit.MILLISECONDS);
             } else {
                 rest();
             }
@@ -496,6 +496,22 @@
         slowly(untaken);
     }
 
+    /**
+     * Behind what cannot be read. What it had asked for before that stays whole: what it takes slowly it is
+     * given time for, and what has come since is thrown away first, or closing would be a reset.
+     */
+    private void endLost() {
+        if (!channel.isActive()) {
+            return;
+        }
+        hear();
+        if (untaken > 0) {
+            end();
+        } else {
+            channel.close();
+        }
+    }
+
     /**
      * Danger: closed after a fixed time, a client on a slow link loses the rest of an answer that it was
      * taking.
--- a/proxy/src/test/java/holdproxy/net/EndCrossingTest.java
+++ b/proxy/src/test/java/holdproxy/net/EndCrossingTest.java
@@ -390,4 +390,33 @@
             assertFalse(client.ready());
         }
     }
+
+    /**
+     * It stops inside a command while it takes its last answer slowly, and is to go. Danger: not read from meanwhile, it
+     * was counted among those that say nothing of a command, and stayed until the process was killed.
+     */
+    @Test
+    void whoStopsInsideACommandBehindAnAnswerThatItTakesSlowlyIsEnded() throws Exception {
+        try (Fixture f = new Fixture(1)) {
+            Peer client = f.client();
+            client.send(Fixture.read("a1", 4000) + Fixture.read("a2", 4000) + Fixture.read("a3", 4000)
+                + Fixture.read("a4", 4000) + Fixture.read("a5", 4000) + Fixture.read("a6", 4000) + "mg 7f3a");
+            Arrivals at = new Arrivals(f);
+            String large = "0123456789".repeat(100_000);
+            for (int i = 0; i < 6; i++) {
+                Peer node = at.next();
+                node.send("VA " + large.length() + " " + Arrivals.command(node) + "\r\n" + large + "\r\n");
+            }
+            while (f.loop.submit(() -> f.proxy.held().get("requests")).get() > 0) {
+                Thread.onSpinWait();
+            }
+            stopped(f);
+            for (int i = 1; i <= 6; i++) {
+                client.expect("VA " + large.length() + " Oa" + i);
+                assertEquals(large.length(), client.line().length());
+            }
+            client.expect("CLIENT_ERROR the command does not end");
+            client.expectEnd();
+        }
+    }
 }
--- a/proxy/src/test/java/holdproxy/net/LeavingCrossingTest.java
+++ b/proxy/src/test/java/holdproxy/net/LeavingCrossingTest.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdproxy.Router;
+import java.lang.reflect.InvocationTargetException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -244,4 +247,53 @@
             assertTrue(node.rest() > 0, "all of it went out");
         }
     }
+
+    /**
+     * Its connection is closed in the middle of a read, as where its answers fill our memory. Danger: what stood behind
+     * in that read was asked for nobody, and was written at once where a connection to its node was idle.
+     */
+    @Test
+    void whatStandsBehindInTheReadInWhichItIsClosedIsNotSentOn() throws Exception {
+        AtomicReference<Fixture> at = new AtomicReference<>();
+        try (Fixture f = new Fixture(1, LeavingCrossingTest::patient, 1024, Fixture::allServing, inner -> closes(inner, at))) {
+            at.set(f);
+            Peer first = f.client();
+            first.send(Fixture.read("r1", PATIENCE_MS) + Fixture.read("r2", PATIENCE_MS));
+            List<Peer> nodes = List.of(f.nodes.get(0).next(), f.nodes.get(0).next());
+            for (Peer node : nodes) {
+                node.send("VA 1 " + Arrivals.command(node) + "\r\n1\r\n");
+            }
+            first.expect("VA 1 Or1", "1", "VA 1 Or2", "1"); // two connections to the node are idle
+            Peer client = f.client();
+            client.send(Fixture.read("a1", PATIENCE_MS).replace("d=", HeldRequest.SIZE + "d=") + Fixture.read("a2", PATIENCE_MS));
+            client.expectEnd();
+            Peer last = f.client();
+            last.send(Fixture.read("b1", PATIENCE_MS));
+            Arrivals any = new Arrivals(f);
+            Peer by = any.nextOr(null, nodes.get(0));
+            List<String> came = new ArrayList<>();
+            for (String id = Arrivals.command(by); !id.equals("Ob1"); id = Arrivals.command(by)) {
+                came.add(id);
+                by.expectEnd(); // withdrawn, as its client has left
+                by.close();
+                by = any.nextOr(null, nodes.get(1));
+            }
+            assertFalse(came.contains("Oa2"), came.toString());
+        }
+    }
+
+    /** Closes all clients as it hears of a request of {@link HeldRequest#SIZE}. */
+    private static Router closes(Router inner, AtomicReference<Fixture> at) {
+        return (Router) java.lang.reflect.Proxy.newProxyInstance(LeavingCrossingTest.class.getClassLoader(),
+            new Class<?>[] {Router.class}, (self, method, args) -> {
+                if (method.getName().equals("onRequest") && ((Router.Request) args[1]).sizeBytes == 7) {
+                    at.get().proxy.admission.all().forEach(ClientSession::abort);
+                }
+                try {
+                    return method.invoke(inner, args);
+                } catch (InvocationTargetException e) {
+                    throw e.getCause();
+                }
+            });
+    }
 }
--- a/proxy/src/test/java/holdproxy/net/NobodyHarmsTest.java
+++ b/proxy/src/test/java/holdproxy/net/NobodyHarmsTest.java
@@ -265,6 +265,20 @@
     /** Danger: half a second after the last answer was written the connection was closed, whatever of it was taken. */
     @Test
     void whoTakesItsAnswersSteadilyGetsAllOfThem() throws Exception {
+        takesSteadily("", f -> f.loop.submit(() -> f.proxy.drain(0)).get());
+    }
+
+    /** Danger: half a second after a line behind which nothing can be read, what was asked before it lost its answer. */
+    @Test
+    void whoTakesItsAnswersSteadilyGetsAllOfThemBeforeALineThatCannotBeRead() throws Exception {
+        takesSteadily("x".repeat(3000) + "\r\n", f -> { });
+    }
+
+    private interface Step {
+        void on(Fixture f) throws Exception;
+    }
+
+    private static void takesSteadily(String behind, Step then) throws Exception {
         try (Fixture f = new Fixture(1)) {
             Arrivals at = new Arrivals(f);
             Peer client = f.client();
@@ -273,7 +287,7 @@
             for (int i = 0; i < answers; i++) {
                 all.append(Fixture.read("a" + i, 4000));
             }
-            client.send(all.toString());
+            client.send(all + behind);
             for (int i = 0; i < answers; i++) {
                 Peer node = at.next();
                 String id = Arrivals.command(node);
@@ -282,7 +296,7 @@
             while (f.loop.submit(() -> f.proxy.held().get("requests")).get() > 0) {
                 Thread.onSpinWait();
             }
-            f.loop.submit(() -> f.proxy.drain(0)).get();
+            then.on(f);
             byte[] piece = new byte[1 << 16];
             long got = 0;
             long began = System.nanoTime();
