An end behind more than is looked ahead of is seen by the answers: refuted by a test

Lead: the end of a client behind more than 64 KB of unread commands is not read, and what it had asked might all be sent on for who had left.

Checked: a client sends 200 KB of commands and closes or resets; 128 are out. Nobody takes the first answer, the next cannot be written, the connection ends and all is withdrawn: at most one more is sent on for each answer until then. One that has only ended its sending takes its answers, and is served.

--- a/proxy/src/test/java/holdproxy/net/LeavingCrossingTest.java
+++ b/proxy/src/test/java/holdproxy/net/LeavingCrossingTest.java
@@ -8,7 +8,9 @@
 import holdproxy.Router;
 import java.lang.reflect.InvocationTargetException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -171,6 +173,47 @@
         }
     }
 
+    /**
+     * Behind more than is looked ahead of, an end is not read. It shows by the answers all the same: nobody takes the
+     * first, and the next cannot be written. Danger: all of 200 KB was sent on for who had left.
+     */
+    @Test
+    void behindMoreThanIsLookedAheadOfItIsSeenByTheAnswers() throws Exception {
+        for (Leave way : WAYS.subList(0, 2)) { // one that has only ended its sending takes its answers
+            try (Fixture f = new Fixture(1, LeavingCrossingTest::patient, 1024)) {
+                StringBuilder all = new StringBuilder();
+                for (int i = 0; i < 4000; i++) {
+                    all.append(Fixture.read("a" + i, PATIENCE_MS));
+                }
+                Peer client = f.client();
+                client.send(all.toString());
+                List<Peer> nodes = new ArrayList<>();
+                for (int i = 0; i < 128; i++) {
+                    nodes.add(f.nodes.get(0).next());
+                }
+                way.by(client);
+                Map<String, Peer> at = new HashMap<>();
+                for (Peer node : nodes) {
+                    at.put(Arrivals.command(node), node);
+                }
+                for (String id : List.of("Oa0", "Oa1")) {
+                    at.get(id).send("VA 1 " + id + "\r\n1\r\n");
+                }
+                while (f.loop.submit(() -> f.proxy.held().values().stream().anyMatch(held -> held != 0)).get()) {
+                    Thread.onSpinWait(); // all is given back
+                }
+                for (Peer p = f.nodes.get(0).poll(); p != null; p = f.nodes.get(0).poll()) {
+                    nodes.add(p);
+                }
+                int more = 0;
+                for (Peer p : nodes) {
+                    more += p.ready() ? 1 : 0;
+                }
+                assertTrue(more <= 2, more + " sent on behind its client's end");
+            }
+        }
+    }
+
     /** Where the settings forbid to withdraw, what waits for its connection is not sent on all the same. */
     @Test
     void whatWaitsForItsConnectionIsNotSentOn() throws Exception {
