Taken back: what is half written as its node drains stays there

Seen: the whole run of the tests failed StuckWritesTest, which holds that the one request whose bytes have begun is served.

Measured: StuckWritesTest, RetryCrossingTest, ModuleLimitsTest pass. The same run failed SocketRulesTest.aLateSecondBusy once ("while its attempt at s-0 was out on an open connection"); being looked into.

--- a/proxy/src/main/java/holdproxy/net/NodeConnection.java
+++ b/proxy/src/main/java/holdproxy/net/NodeConnection.java
@@ -139,18 +139,6 @@
         drop(a -> true);
     }
 
-    /**
-     * The same where the node takes nothing new: what the channel holds of a command would go out whenever
-     * the node reads on, which may be after the grace in which its list is to be heeded. With its connection
-     * it never becomes whole, and goes elsewhere.
-     */
-    void dropUnwritten() {
-        dropUnsent();
-        if (line.stream().anyMatch(a -> a.handed && !a.written)) {
-            close();
-        }
-    }
-
     /** All are taken out before the first is ended: what that brings about may come to this connection. */
     private void drop(Predicate<Attempt> which) {
         List<Attempt> dropped = null;
--- a/proxy/src/main/java/holdproxy/net/NodePool.java
+++ b/proxy/src/main/java/holdproxy/net/NodePool.java
@@ -153,7 +153,7 @@
     void leave() {
         left = true;
         closeIdle();
-        List.copyOf(all).forEach(NodeConnection::dropUnwritten);
+        List.copyOf(all).forEach(NodeConnection::dropUnsent);
     }
 
     void listed(SocketAddress now, long nowStartedUs) {
--- a/proxy/src/test/java/holdproxy/net/RetryCrossingTest.java
+++ b/proxy/src/test/java/holdproxy/net/RetryCrossingTest.java
@@ -7,8 +7,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Where the end of an attempt crosses with something else: its time, its connection's end, the window for repeats,
- * a drain.
+ * Where the end of an attempt crosses with something else: its time, its connection's end, the window for repeats.
  */
 @Timeout(60)
 class RetryCrossingTest {
@@ -246,30 +245,4 @@
             client.expect("HD Ok1 c7");
         }
     }
-
-    /**
-     * A node is told to drain while it does not read what is being written to it. Danger: the rest went out whenever it
-     * read on, which may be after the grace, and the request waited for that.
-     */
-    @Test
-    void whatIsHalfWrittenAsItsNodeDrainsGoesElsewhere() throws Exception {
-        for (String cls : new String[] {"charge", "submit"}) {
-            try (Peer.Listener hangs = new Peer.Listener(SMALL);
-                    Fixture f = new Fixture(1, RetryCrossingTest::patient, 1024,
-                        g -> Fixture.list(1, true, Fixture.entry(1, "SERVING", hangs)), module -> module,
-                        Fixture.holdsLittle(SMALL))) {
-                Peer client = f.client();
-                client.send(large(cls, "c1"));
-                Peer hung = hangs.next();
-                half(hung, "c1");
-                Fixture.toldAndEnded(f.watch(), Fixture.list(2, false, Fixture.entry(1, "DRAINING", hangs),
-                    f.entry(0, "SERVING")));
-                Peer other = f.nodes.get(0).next();
-                assertEquals("Oc1", Arrivals.command(other));
-                other.send("HD Oc1 c7\r\n");
-                client.expect("HD Oc1 c7");
-                neverWhole(hung);
-            }
-        }
-    }
 }
