What a newer member adds to an order, a told state or a figure is passed on, not dropped

Need (hard case of the replicated state): a member of an older version between newer ones. PeerCodec asked for exactly the parts it knows: one part more and the whole message was refused and its connection closed, orders included; so was it for one state or form that this version does not know.

Change: values keep what stands behind their known parts as it came, write it again in its place, on the wire and on disk, and count it in their digest. Of two copies of one order the one that has lost less stays: they were two orders to the merge before, and both would have gone. Forms and states that are not known cannot be merged and are left out, the rest of the message is heard. A part is bounded to 1 KB and 16 pieces.

--- a/fleet/src/main/java/holdproxy/peers/OrderLog.java
+++ b/fleet/src/main/java/holdproxy/peers/OrderLog.java
@@ -95,7 +95,10 @@
 
     private static Map.Entry<String, Orders> entry(byte[] body) {
         List<?> two = PeerCodec.list(body);
-        return Map.entry((String) two.get(0), (Orders) PeerCodec.value(two.get(1)));
+        if (!(PeerCodec.value(two.get(1)) instanceof Orders orders)) {
+            throw new IllegalArgumentException("a record of no orders");
+        }
+        return Map.entry((String) two.get(0), orders);
     }
 
     private void put(String key, Orders orders) {
--- a/fleet/src/main/java/holdproxy/peers/PeerCodec.java
+++ b/fleet/src/main/java/holdproxy/peers/PeerCodec.java
@@ -11,19 +11,24 @@
 import holdproxy.replica.Told;
 import holdproxy.replica.Value;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Messages as CBOR maps with short names. What cannot be read is an IllegalArgumentException that names the part; entries
- * of kinds that this version does not know are left out, they come again from others once it does.
+ * Messages as CBOR maps with short names. What cannot be read is an IllegalArgumentException that names the part. Of newer
+ * versions: what stands behind the known parts of an order, a told state or a figure is kept with it and written again in
+ * its place; entries of kinds, and values of forms, that this version does not know are left out, since it cannot merge
+ * them: they come again from others once it does.
  */
 final class PeerCodec {
     private static final JSON CBOR = JSON.builder(new CBORFactory()).build();
     private static final int VERSION = 1;
     private static final int MOST_ITEMS = 65_536;
+    /** Parts that newer versions may have put behind those known here. */
+    private static final int MOST_MORE = 16;
 
     private PeerCodec() {
     }
@@ -96,21 +101,39 @@
 
     static List<Object> value(Value value) {
         if (value instanceof Told t) {
-            return List.of("t", t.startedMs(), t.state().name());
+            return with(t.more(), "t", t.startedMs(), t.state().name());
         }
         if (value instanceof Cell c) {
-            return List.of("c", c.life(), c.number(), c.amount());
+            return with(c.more(), "c", c.life(), c.number(), c.amount());
         }
         Orders o = (Orders) value;
         List<Object> heard = new ArrayList<>();
         o.heard().forEach((life, number) -> heard.add(List.of(life, number)));
         List<Object> standing = new ArrayList<>();
         for (Order s : o.standing()) {
-            standing.add(List.of(s.life(), s.number(), s.stamp(), s.verb(), s.who(), s.why()));
+            standing.add(with(s.more(), s.life(), s.number(), s.stamp(), s.verb(), s.who(), s.why()));
         }
         return List.of("o", heard, standing);
     }
 
+    private static List<Object> with(String more, Object... known) {
+        List<Object> all = new ArrayList<>(List.of(known));
+        if (!more.isEmpty()) {
+            try {
+                all.addAll((List<?>) CBOR.anyFrom(more.getBytes(StandardCharsets.ISO_8859_1)));
+            } catch (IOException e) {
+                throw new IllegalArgumentException("more: " + e.getMessage(), e);
+            }
+        }
+        return all;
+    }
+
+    /** What stands behind so many parts, as this codec writes it: the same on each machine. */
+    private static String more(List<?> parts, int known) {
+        return parts.size() == known ? ""
+            : new String(write(new ArrayList<>(parts.subList(known, parts.size()))), StandardCharsets.ISO_8859_1);
+    }
+
     static byte[] write(Object o) {
         try {
             return CBOR.asBytes(o);
@@ -198,21 +221,32 @@
             if (age < 0) {
                 throw new IllegalArgumentException("i: an age of " + age);
             }
-            if (Kind.of(key) != null) {
-                items.add(new Item(key, value(three.get(2)), age));
+            Value value = Kind.of(key) == null ? null : value(three.get(2));
+            if (value != null) {
+                items.add(new Item(key, value, age));
             }
         }
         return items;
     }
 
+    /** Null where it is of a form that this version does not know. */
     static Value value(Object told) {
-        List<?> parts = list("value", told, 3, 4);
+        List<?> parts = list("value", told, 3, 4 + MOST_MORE);
         switch (text("value", parts.get(0))) {
             case "t":
-                return new Told(number("value", parts.get(1)), Told.State.valueOf(text("value", parts.get(2))));
+                String name = text("value", parts.get(2));
+                for (Told.State state : Told.State.values()) {
+                    if (state.name().equals(name)) {
+                        return new Told(number("value", parts.get(1)), state, more(parts, 3));
+                    }
+                }
+                return null;
             case "c":
-                return new Cell(number("value", parts.get(1)), number("value", parts.get(2)),
-                    ((Number) parts.get(parts.size() - 1)).doubleValue());
+                if (parts.size() < 4 || !(parts.get(3) instanceof Number amount)) {
+                    throw new IllegalArgumentException("value: a figure without an amount");
+                }
+                return new Cell(number("value", parts.get(1)), number("value", parts.get(2)), amount.doubleValue(),
+                    more(parts, 4));
             case "o":
                 Map<Long, Long> heard = new LinkedHashMap<>();
                 for (Object dot : list("heard", parts.get(1), 0, MOST_ITEMS)) {
@@ -221,13 +255,13 @@
                 }
                 List<Order> standing = new ArrayList<>();
                 for (Object order : list("standing", parts.get(2), 0, MOST_ITEMS)) {
-                    List<?> six = list("standing", order, 6, 6);
+                    List<?> six = list("standing", order, 6, 6 + MOST_MORE);
                     standing.add(new Order(number("life", six.get(0)), number("number", six.get(1)), number("stamp", six.get(2)),
-                        text("verb", six.get(3)), text("who", six.get(4)), text("why", six.get(5))));
+                        text("verb", six.get(3)), text("who", six.get(4)), text("why", six.get(5)), more(six, 6)));
                 }
                 return Orders.of(heard, standing);
             default:
-                throw new IllegalArgumentException("value: of kind " + parts.get(0));
+                return null;
         }
     }
 
--- /dev/null
+++ b/fleet/src/test/java/holdproxy/peers/NewerMemberTest.java
@@ -0,0 +1,173 @@
+package holdproxy.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdproxy.replica.Cell;
+import holdproxy.replica.Item;
+import holdproxy.replica.Message;
+import holdproxy.replica.Order;
+import holdproxy.replica.Orders;
+import holdproxy.replica.Told;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A member of this version between newer ones. Danger: what those have added is gone wherever it came by here. */
+@Timeout(90)
+class NewerMemberTest {
+    private static final List<Object> ADDED = List.of("until", 1_800_000_000_000L, List.of(1.5, true), Map.of("ticket", "T-7"));
+
+    @TempDir
+    Path root;
+
+    private final List<Process> members = new ArrayList<>();
+
+    @AfterEach
+    void end() throws InterruptedException {
+        for (Process p : members) {
+            p.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        }
+    }
+
+    private static List<Object> behind(List<Object> known) {
+        List<Object> all = new ArrayList<>(known);
+        all.addAll(ADDED);
+        return all;
+    }
+
+    /** As a newer version writes it: its parts stand behind those that are known here. */
+    private static Map<String, Object> news(List<Object> items) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("v", 1);
+        m.put("f", "m9");
+        m.put("l", 9);
+        m.put("b", false);
+        m.put("n", 1);
+        m.put("r", Map.of());
+        m.put("zone", "a part of the message itself, for its receiver alone");
+        m.put("k", "news");
+        m.put("i", items);
+        m.put("c", false);
+        return m;
+    }
+
+    private static List<Item> items(byte[] message) {
+        return ((Message.News) PeerCodec.message(message).body()).items();
+    }
+
+    @Test
+    void whatStandsBehindTheKnownPartsIsWrittenAgain() {
+        List<Object> order = behind(List.of(5, 1, 7, "drain", "who", "why"));
+        List<Item> heard = items(PeerCodec.write(news(List.of(
+            List.of("order/n1", 3, List.of("o", List.of(List.of(5, 1)), List.of(order))),
+            List.of("node/s-1", 3, behind(List.of("t", 5, "DRAINING"))),
+            List.of("level/acme/m9", 3, behind(List.of("c", 9, 1, 0.5)))))));
+        assertEquals(3, heard.size());
+        assertEquals(Told.State.DRAINING, ((Told) heard.get(1).value()).state());
+        assertEquals(0.5, ((Cell) heard.get(2).value()).amount());
+        List<Item> again = items(PeerCodec.bytes(new Message("m1", 7, false, 1, Map.of(), new Message.News(heard, false))));
+        assertEquals(heard, again);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(heard.get(i).value().digest(), again.get(i).value().digest());
+        }
+        assertEquals(behind(List.of("t", 5L, "DRAINING")), PeerCodec.value(again.get(1).value()));
+        assertEquals(behind(List.of("c", 9L, 1L, 0.5)), PeerCodec.value(again.get(2).value()));
+        assertEquals(List.of("o", List.of(List.of(5L, 1L)), List.of(behind(List.of(5L, 1L, 7L, "drain", "who", "why")))),
+            PeerCodec.value(again.get(0).value()));
+    }
+
+    /** Danger: with one entry that cannot be merged here the whole message was refused, orders in it as well. */
+    @Test
+    void whatCannotBeMergedIsLeftOutAndTheRestIsHeard() {
+        List<Item> heard = items(PeerCodec.write(news(List.of(
+            List.of("quota/acme", 3, List.of("q", 1, 2)),
+            List.of("node/s-1", 3, List.of("t", 5, "RESTING")),
+            List.of("node/s-2", 3, List.of("interval", 5, 6)),
+            List.of("node/s-3", 3, List.of("t", 5, "GONE"))))));
+        assertEquals(List.of(new Item("node/s-3", new Told(5, Told.State.GONE), 3)), heard);
+        assertThrows(IllegalArgumentException.class, () -> items(PeerCodec.write(news(List.of(
+            List.of("node/s-1", 3, List.of("t", "soon", "GONE")))))));
+        List<Object> many = new ArrayList<>(List.of("t", 5, "GONE"));
+        many.addAll(java.util.Collections.nCopies(18, 1));
+        assertThrows(IllegalArgumentException.class, () -> items(PeerCodec.write(news(List.of(List.of("node/s-1", 3, many))))));
+        assertThrows(IllegalArgumentException.class, () -> items(PeerCodec.write(news(List.of(
+            List.of("node/s-1", 3, List.of("t", 5, "GONE", "x".repeat(2_000))))))));
+    }
+
+    private static String free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + s.getLocalPort();
+        }
+    }
+
+    private Process start(String name, String listen, Map<String, String> peers) throws IOException {
+        Path folder = Files.createDirectories(root.resolve(name));
+        Files.deleteIfExists(folder.resolve(MemberService.SOCKET));
+        Files.write(folder.resolve(MemberFile.FILE), com.fasterxml.jackson.jr.ob.JSON.std.asBytes(
+            Map.of("name", name, "listen", listen, "peers", peers, "settings", Map.of("tickMs", 50, "aloneMs", 1_000))));
+        Process p = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
+            System.getProperty("java.class.path"), "holdproxy.fleet.Main", "member", folder.toString()).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("out").toFile())).start();
+        members.add(p);
+        return p;
+    }
+
+    /** What a member has on its disk on a subject; null for nothing. */
+    private Orders onDisk(String name, String key) throws IOException {
+        Path log = root.resolve(name).resolve(OrderLog.FILE);
+        if (!Files.exists(log)) {
+            return null;
+        }
+        Path copy = Files.createDirectories(root.resolve("copy"));
+        Files.copy(log, copy.resolve(OrderLog.FILE), StandardCopyOption.REPLACE_EXISTING);
+        try (OrderLog read = OrderLog.open(copy)) {
+            return read.all().get(key);
+        }
+    }
+
+    private void await(String name, String key, Orders orders) throws IOException {
+        while (!orders.equals(onDisk(name, key))) {
+            assertTrue(members.stream().allMatch(Process::isAlive) || members.size() > 2, "a member has ended");
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Three processes, of which the ends never speak; the middle one is killed and comes back by its disk alone. */
+    @Test
+    void itGoesOnByDiskAndByWireThroughMembersThatDoNotKnowIt() throws Exception {
+        Orders newer = (Orders) PeerCodec.value(List.of("o", List.of(List.of(5, 1)),
+            List.of(behind(List.of(5, 1, 7, "drain", "who", "why")))));
+        assertTrue(!newer.standing().get(0).more().isEmpty());
+        Files.createDirectories(root.resolve("m0"));
+        try (OrderLog log = OrderLog.open(root.resolve("m0"))) {
+            log.append("order/s-1", newer);
+        }
+        String m0 = free();
+        String m1 = free();
+        String m2 = free();
+        Process first = start("m0", m0, Map.of("m1", m1));
+        Process middle = start("m1", m1, Map.of("m0", m0, "m2", m2));
+        await("m1", "order/s-1", newer);
+        first.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        middle.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        start("m1", m1, Map.of("m0", m0, "m2", m2));
+        start("m2", m2, Map.of("m1", m1));
+        await("m2", "order/s-1", newer);
+        Order added = onDisk("m2", "order/s-1").standing().get(0);
+        assertEquals(newer.standing().get(0), added);
+    }
+}
--- a/proxy/src/main/java/holdproxy/replica/Cell.java
+++ b/proxy/src/main/java/holdproxy/replica/Cell.java
@@ -9,12 +9,18 @@
  * @param life the member's life, which grows with each start
  * @param number grows within a life
  * @param amount what it says
+ * @param more of a newer version: see {@link Value#LONGEST_MORE}
  */
-public record Cell(long life, long number, double amount) implements Value {
+public record Cell(long life, long number, double amount, String more) implements Value {
     public Cell {
         if (Double.isNaN(amount)) {
             throw new IllegalArgumentException("amount: not a number");
         }
+        Value.more(more);
+    }
+
+    public Cell(long life, long number, double amount) {
+        this(life, number, amount, "");
     }
 
     @Override
@@ -25,16 +31,18 @@
         int order = Long.compare(life, c.life);
         order = order == 0 ? Long.compare(number, c.number) : order;
         order = order == 0 ? Double.compare(amount, c.amount) : order;
+        order = order == 0 ? Value.compareMore(more, c.more) : order;
         return order >= 0 ? this : c;
     }
 
     @Override
     public long digest() {
-        return Value.mix(life ^ Value.mix(number ^ Value.mix(Double.doubleToLongBits(amount))));
+        return Value.mix(life ^ Value.mix(number ^ Value.mix(Double.doubleToLongBits(amount))))
+            + Value.moreDigest(more);
     }
 
     @Override
     public int bytes() {
-        return 20;
+        return 20 + more.length();
     }
 }
--- a/proxy/src/main/java/holdproxy/replica/Order.java
+++ b/proxy/src/main/java/holdproxy/replica/Order.java
@@ -11,8 +11,10 @@
  * @param verb what is wanted, {@link #CLEAR} to want nothing any more
  * @param who for the record
  * @param why for the record
+ * @param more of a newer version: see {@link Value#LONGEST_MORE}
  */
-public record Order(long life, long number, long stamp, String verb, String who, String why) {
+public record Order(long life, long number, long stamp, String verb, String who, String why,
+        String more) {
     public static final String CLEAR = "clear";
     /** Characters of a verb or name, and of a reason. */
     public static final int LONGEST = 128;
@@ -25,6 +27,11 @@
         if (number < 1) {
             throw new IllegalArgumentException("number: " + number + " is under 1");
         }
+        Value.more(more);
+    }
+
+    public Order(long life, long number, long stamp, String verb, String who, String why) {
+        this(life, number, stamp, verb, who, why, "");
     }
 
     private static void check(String field, String text, int most) {
@@ -44,7 +51,21 @@
         return order == 0 ? Long.compare(a.number, b.number) : order;
     }
 
+    /** Whether both are the same order, of which one copy may have lost what a newer version added. */
+    boolean same(Order o) {
+        return life == o.life && number == o.number;
+    }
+
+    /** Of two copies of the same order the one that has lost less; total, whatever a copy may say. */
+    Order fuller(Order o) {
+        int order = Value.compareMore(more, o.more);
+        order = order == 0 ? Long.compare(stamp, o.stamp) : order;
+        order = order == 0 ? verb.compareTo(o.verb) : order;
+        order = order == 0 ? who.compareTo(o.who) : order;
+        return (order == 0 ? why.compareTo(o.why) : order) >= 0 ? this : o;
+    }
+
     long digest() {
-        return Value.hash(life ^ Value.mix(number), verb);
+        return Value.hash(life ^ Value.mix(number), verb) + Value.moreDigest(more);
     }
 }
--- a/proxy/src/main/java/holdproxy/replica/Orders.java
+++ b/proxy/src/main/java/holdproxy/replica/Orders.java
@@ -73,7 +73,10 @@
         o.heard.forEach((life, number) -> all.merge(life, number, Math::max));
         List<Order> left = new ArrayList<>();
         for (Order mine : standing) {
-            if (o.standing.contains(mine) || !o.knows(mine)) {
+            Order theirs = o.copyOf(mine);
+            if (theirs != null) {
+                left.add(mine.fuller(theirs));
+            } else if (!o.knows(mine)) {
                 left.add(mine);
             }
         }
@@ -86,6 +89,15 @@
         return new Orders(all, List.copyOf(left));
     }
 
+    private Order copyOf(Order order) {
+        for (Order o : standing) {
+            if (o.same(order)) {
+                return o;
+            }
+        }
+        return null;
+    }
+
     boolean knows(Order order) {
         return heard.getOrDefault(order.life(), 0L) >= order.number();
     }
@@ -129,7 +141,7 @@
     public int bytes() {
         int n = 16 * heard.size();
         for (Order o : standing) {
-            n += 28 + o.verb().length() + o.who().length() + o.why().length();
+            n += 28 + o.verb().length() + o.who().length() + o.why().length() + o.more().length();
         }
         return n;
     }
--- a/proxy/src/main/java/holdproxy/replica/Told.java
+++ b/proxy/src/main/java/holdproxy/replica/Told.java
@@ -8,11 +8,20 @@
  *
  * @param startedMs when the node last started, Unix time in ms as its list says, 0 for long ago: its
  *     incarnation
+ * @param more of a newer version: see {@link Value#LONGEST_MORE}
  */
-public record Told(long startedMs, State state) implements Value {
+public record Told(long startedMs, State state, String more) implements Value {
     /** In the order of what is safer. */
     public enum State { SERVING, DRAINING, GONE }
 
+    public Told {
+        Value.more(more);
+    }
+
+    public Told(long startedMs, State state) {
+        this(startedMs, state, "");
+    }
+
     @Override
     public Value merge(Value other) {
         if (!(other instanceof Told t)) {
@@ -21,16 +30,17 @@
         if (startedMs != t.startedMs) {
             return startedMs > t.startedMs ? this : t;
         }
-        return state.compareTo(t.state) >= 0 ? this : t;
+        int order = state.compareTo(t.state);
+        return (order == 0 ? Value.compareMore(more, t.more) : order) >= 0 ? this : t;
     }
 
     @Override
     public long digest() {
-        return Value.mix(startedMs * 31 + state.ordinal() + 1);
+        return Value.mix(startedMs * 31 + state.ordinal() + 1) + Value.moreDigest(more);
     }
 
     @Override
     public int bytes() {
-        return 12;
+        return 12 + more.length();
     }
 }
--- a/proxy/src/main/java/holdproxy/replica/Value.java
+++ b/proxy/src/main/java/holdproxy/replica/Value.java
@@ -14,6 +14,31 @@
     /** About how many bytes it takes on the wire. */
     int bytes();
 
+    /**
+     * What a newer version adds to a value: this one does not know what it means, and passes it on as it
+     * came. Part of the digest, or two copies of which one has lost it would count as equal.
+     */
+    int LONGEST_MORE = 1024;
+
+    /** It, if it may be one. */
+    static String more(String more) {
+        if (more == null || more.length() > LONGEST_MORE) {
+            throw new IllegalArgumentException("more: missing, or over " + LONGEST_MORE + " bytes");
+        }
+        return more;
+    }
+
+    /** Nothing for nothing, so that versions without such a part agree. */
+    static long moreDigest(String more) {
+        return more.isEmpty() ? 0 : hash(7, more);
+    }
+
+    /** Total: a copy that has lost it is the lesser. */
+    static int compareMore(String a, String b) {
+        int order = Integer.compare(a.length(), b.length());
+        return order == 0 ? a.compareTo(b) : order;
+    }
+
     /**
      * FNV-1a with a finisher (MurmurHash3's): small differences must reach all bits, since digests are
      * added up.
--- a/proxy/src/test/java/holdproxy/replica/MergeTest.java
+++ b/proxy/src/test/java/holdproxy/replica/MergeTest.java
@@ -15,11 +15,23 @@
 /** Danger: copies that have heard the same and differ for good, or a merge by which the less safe copy wins. */
 class MergeTest {
     private static Value told(SplittableRandom r) {
-        return new Told(r.nextInt(3), Told.State.values()[r.nextInt(3)]);
+        return new Told(r.nextInt(3), Told.State.values()[r.nextInt(3)], more(r));
     }
 
     private static Value cell(SplittableRandom r) {
-        return new Cell(r.nextInt(3), r.nextInt(3), r.nextInt(3) / 2.0);
+        return new Cell(r.nextInt(3), r.nextInt(3), r.nextInt(3) / 2.0, more(r));
+    }
+
+    /** Of a newer version, or lost by one that is older still. */
+    private static String more(SplittableRandom r) {
+        return List.of("", "", "a", "b", "aa").get(r.nextInt(5));
+    }
+
+    /** The same orders, as they come by way of a member that has lost what newer versions added to some. */
+    private static Value worn(Value orders, SplittableRandom r) {
+        Orders o = (Orders) orders;
+        return Orders.of(o.heard(), o.standing().stream().map(s -> r.nextBoolean() ? s
+            : new Order(s.life(), s.number(), s.stamp(), s.verb(), s.who(), s.why())).toList());
     }
 
     /** Histories of four members that give orders and hear one another now and then. */
@@ -31,7 +43,7 @@
             int m = r.nextInt(4);
             int other = r.nextInt(4);
             if (r.nextBoolean() || at[other] == null) {
-                at[m] = Orders.given(at[m], new Order(m + 1, ++given[m], r.nextInt(5), r.nextBoolean() ? "drain" : Order.CLEAR, "w", ""));
+                at[m] = Orders.given(at[m], new Order(m + 1, ++given[m], r.nextInt(5), r.nextBoolean() ? "drain" : Order.CLEAR, "w", "", more(r)));
             } else {
                 at[m] = at[m] == null ? at[other] : (Orders) at[m].merge(at[other]);
             }
@@ -56,9 +68,28 @@
             }
             List<Value> seen = orders(r);
             laws(seen.get(r.nextInt(12)), seen.get(r.nextInt(12)), seen.get(r.nextInt(12)), seed);
+            laws(worn(seen.get(r.nextInt(12)), r), worn(seen.get(r.nextInt(12)), r), worn(seen.get(r.nextInt(12)), r), seed);
         }
     }
 
+    /** Danger: a copy that has lost what a newer version added takes the order itself away, or the addition. */
+    @Test
+    void whatANewerVersionAddsIsNotLostToACopyWithoutIt() {
+        Orders whole = Orders.given(null, new Order(1, 1, 20, "drain", "a", "", "more"));
+        Orders worn = Orders.given(null, new Order(1, 1, 20, "drain", "a", ""));
+        assertEquals(whole, worn.merge(whole));
+        assertEquals(whole, whole.merge(worn));
+        assertTrue(whole.digest() != worn.digest(), "copies that differ are compared");
+        Told told = new Told(5, Told.State.GONE, "more");
+        assertEquals(told, new Told(5, Told.State.GONE).merge(told));
+        Told later = new Told(6, Told.State.SERVING);
+        assertEquals(later, told.merge(later), "it belongs to what it was added to");
+        Cell cell = new Cell(1, 2, 3, "more");
+        assertEquals(cell, new Cell(1, 2, 3).merge(cell));
+        assertTrue(told.digest() != new Told(5, Told.State.GONE).digest() && cell.digest() != new Cell(1, 2, 3).digest());
+        assertThrows(IllegalArgumentException.class, () -> new Cell(1, 2, 3, "x".repeat(1_025)));
+    }
+
     @Test
     void theSaferStateWinsWithinOneStartAndALaterStartBeforeAll() {
         Told gone = new Told(5, Told.State.GONE);
