Ends on real sockets are recorded before what was sent behind them

Checked: the stand-ins' one thread reads connections in the order of the selector, and an end that stands behind bytes in the next round. The checker gives an end 50 ms; a thread that is held for longer in between (a collection, a stolen processor) made a proxy that had given an attempt up look like one with two out. Forced by a test: "second" was recorded before the end that the program had made before it.

Change: what comes is read from all connections first, then recorded, what ended before what did not. Nothing is allowed that was not.

--- a/lab/src/main/java/holdproxy/lab/emulator/RealLink.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/RealLink.java
@@ -24,6 +24,8 @@
     private final Handler handler;
     private boolean up;
     private boolean dead;
+    /** Nothing more is recorded of what comes on it. */
+    private boolean silent;
     private boolean ending;
     private boolean endSent;
     private boolean endTold;
@@ -79,6 +81,7 @@
     private void closeIfOver() {
         if (endSent && endTold) {
             dead = true;
+            silent = true;
             channel.close();
         }
     }
@@ -87,6 +90,7 @@
     public void reset() {
         if (open()) {
             dead = true;
+            silent = true;
             net.record(Event.Kind.RESET_SENT, id, who, null, "");
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
@@ -123,19 +127,13 @@
         ByteBuf b = (ByteBuf) message;
         byte[] bytes = ByteBufUtil.getBytes(b);
         b.release();
-        if (!dead) {
-            net.record(Event.Kind.ARRIVED, id, who, bytes, null);
-            net.guarded(() -> handler.received(this, bytes));
-        }
+        net.came(this, Event.Kind.ARRIVED, bytes);
     }
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event == ChannelInputShutdownEvent.INSTANCE && !dead && !endTold) {
-            endTold = true;
-            net.record(Event.Kind.END_ARRIVED, id, who, null, null);
-            net.guarded(() -> handler.ended(this));
-            closeIfOver();
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            net.came(this, Event.Kind.END_ARRIVED, null);
         }
     }
 
@@ -153,9 +151,28 @@
     private void broken() {
         if (!dead) {
             dead = true;
-            net.record(Event.Kind.RESET_ARRIVED, id, who, null, null);
             channel.close();
-            net.guarded(() -> handler.broken(this, "reset"));
+            net.came(this, Event.Kind.RESET_ARRIVED, null);
+        }
+    }
+
+    /** Its turn to be recorded and told. */
+    void take(Event.Kind kind, byte[] bytes) {
+        if (silent || kind == Event.Kind.END_ARRIVED && endTold) {
+            return;
+        }
+        net.record(kind, id, who, bytes, null);
+        switch (kind) {
+            case ARRIVED -> net.guarded(() -> handler.received(this, bytes));
+            case END_ARRIVED -> {
+                endTold = true;
+                net.guarded(() -> handler.ended(this));
+                closeIfOver();
+            }
+            default -> {
+                silent = true;
+                net.guarded(() -> handler.broken(this, "reset"));
+            }
         }
     }
 }
--- a/lab/src/main/java/holdproxy/lab/emulator/RealNet.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/RealNet.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -19,7 +20,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -42,6 +45,7 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
         new DefaultThreadFactory("stand-ins", true), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
+    private final List<Came> came = new ArrayList<>();
     private final long origin = System.nanoTime();
     private final long unixAtOrigin = System.currentTimeMillis();
     private final Record record = new Record();
@@ -168,6 +172,38 @@
         });
     }
 
+    /** What has come on a connection, to be recorded and told in its turn. */
+    private record Came(RealLink link, Event.Kind kind, byte[] bytes) {
+    }
+
+    void came(RealLink link, Event.Kind kind, byte[] bytes) {
+        if (came.isEmpty()) {
+            loop.execute(this::take);
+        }
+        came.add(new Came(link, kind, bytes));
+    }
+
+    /**
+     * All that lies unread is read first, and what ended goes before what did not. Danger: a program ends a connection
+     * and then sends elsewhere. In the order of the selector its end, which stands behind bytes, was read in the next
+     * round, later by as long as this thread took in between, and whoever had given an attempt up was blamed for two.
+     */
+    private void take() {
+        for (Channel ch : List.copyOf(open)) {
+            if (ch instanceof NioSocketChannel && ch.isActive() && ch.config().isAutoRead()
+                    && ch.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+                socket.read();
+                socket.read(); // an end behind bytes is not read with them
+            }
+        }
+        List<Came> all = List.copyOf(came);
+        came.clear();
+        Set<RealLink> over = new HashSet<>();
+        all.stream().filter(c -> c.kind != Event.Kind.ARRIVED).forEach(c -> over.add(c.link));
+        all.stream().filter(c -> over.contains(c.link)).forEach(c -> c.link.take(c.kind, c.bytes));
+        all.stream().filter(c -> !over.contains(c.link)).forEach(c -> c.link.take(c.kind, c.bytes));
+    }
+
     private static String shown(InetSocketAddress at) {
         return at.getAddress().getHostAddress() + ":" + at.getPort();
     }
--- a/lab/src/test/java/holdproxy/lab/emulator/RealNetTest.java
+++ b/lab/src/test/java/holdproxy/lab/emulator/RealNetTest.java
@@ -8,8 +8,10 @@
 
 import holdproxy.lab.check.Event;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -92,6 +94,44 @@
         assertEquals(1, events(Event.Kind.RESET_ARRIVED, "server").size());
     }
 
+    /**
+     * A program ends one connection, on which it has just sent something, and then sends on another, while the stand-ins
+     * stand still. Danger: the end was recorded behind what was sent after it, by as long as the thread took meanwhile,
+     * and a proxy that had given an attempt up was blamed for two at once.
+     */
+    @Test
+    void anEndIsRecordedBeforeWhatWasSentBehindItElsewhere() throws Exception {
+        Listening listening = listen(false);
+        try (Socket one = new Socket(); Socket two = new Socket()) {
+            one.connect(listening.address());
+            two.connect(listening.address());
+            await(() -> accepted.size() == 2 && accepted.stream().allMatch(t -> t.link != null));
+            CountDownLatch held = new CountDownLatch(1);
+            CountDownLatch on = new CountDownLatch(1);
+            net.after(0, () -> {
+                held.countDown();
+                try {
+                    on.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            held.await();
+            one.getOutputStream().write(Told.bytes("first"));
+            one.close();
+            two.getOutputStream().write(Told.bytes("second"));
+            on.countDown();
+            await(() -> accepted.stream().anyMatch(t -> t.text.toString().equals("second")));
+            List<String> order = new ArrayList<>();
+            for (Event e : net.events()) {
+                if (e.kind() == Event.Kind.ARRIVED || e.kind() == Event.Kind.END_ARRIVED) {
+                    order.add(e.kind() == Event.Kind.ARRIVED ? Told.text(e.data()) : "end");
+                }
+            }
+            assertEquals(List.of("first", "end", "second"), order);
+        }
+    }
+
     /** Danger: a closed listener goes on accepting, or a refused dial is not told. */
     @Test
     void isRefusedWhereNobodyListens() {
