site-cut on real processes: a site cut off from everything, and back warm

Need: the engine of processes could tear zones apart and kill, but not cut a site off; faults between real processes are what the replicated state and the plan for a lost site are to be tested with.

--- a/lab/src/main/java/holdproxy/lab/check/Rules.java
+++ b/lab/src/main/java/holdproxy/lab/check/Rules.java
@@ -44,6 +44,8 @@
     public double coldChance = 2;
     /** A byte's way counts as so long at most; what is longer is the net's doing, not the proxy's. */
     public double transitMs = 10;
+    /** A way that was cut held back so long at most what had been sent: it did not come when it was sent. */
+    public double heldMs;
     /**
      * A request that came so shortly before the proxy ended its connection, and was not sent on, crossed
      * it.
--- a/lab/src/main/java/holdproxy/lab/emulator/RealLink.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/RealLink.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.ArrayDeque;
 
 /** A stand-in's end of a real connection. */
 final class RealLink extends ChannelDuplexHandler implements Link {
@@ -26,6 +27,10 @@
     private boolean dead;
     /** Nothing more is recorded of what comes on it. */
     private boolean silent;
+    private boolean reads = true;
+    /** Its way is cut: nothing is read, and what is done here waits, in its order. */
+    private boolean held;
+    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private boolean ending;
     private boolean endSent;
     private boolean endTold;
@@ -56,6 +61,10 @@
             return;
         }
         byte[] kept = bytes.clone();
+        onceHeard(() -> write(kept));
+    }
+
+    private void write(byte[] kept) {
         channel.writeAndFlush(Unpooled.wrappedBuffer(kept)).addListener(f -> {
             if (f.isSuccess()) {
                 net.record(Event.Kind.SENT, id, who, kept, null);
@@ -67,17 +76,49 @@
     public void end() {
         if (open() && !ending) {
             ending = true;
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) f -> {
-                if (f.isSuccess() && !dead) {
-                    endSent = true;
-                    net.record(Event.Kind.END_SENT, id, who, null, null);
-                    ((DuplexChannel) channel).shutdownOutput();
-                    closeIfOver();
-                }
-            });
+            onceHeard(this::writeEnd);
+        }
+    }
+
+    private void writeEnd() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) f -> {
+            if (f.isSuccess() && !dead) {
+                endSent = true;
+                net.record(Event.Kind.END_SENT, id, who, null, null);
+                ((DuplexChannel) channel).shutdownOutput();
+                closeIfOver();
+            }
+        });
+    }
+
+    private void onceHeard(Runnable what) {
+        if (held) {
+            waiting.add(what);
+        } else {
+            what.run();
         }
     }
 
+    /** Cuts its way, or joins it again: then what has waited comes, on both sides. */
+    void hold(boolean now) {
+        if (held == now) {
+            return;
+        }
+        held = now;
+        channel.config().setAutoRead(reads && !held);
+        while (!held && !waiting.isEmpty()) {
+            waiting.poll().run();
+        }
+    }
+
+    void onClose(Runnable what) {
+        channel.closeFuture().addListener(f -> what.run());
+    }
+
+    boolean touches(Object place) {
+        return who.equals(place) || place.equals(channel.localAddress()) || place.equals(channel.remoteAddress());
+    }
+
     private void closeIfOver() {
         if (endSent && endTold) {
             dead = true;
@@ -91,15 +132,18 @@
         if (open()) {
             dead = true;
             silent = true;
-            net.record(Event.Kind.RESET_SENT, id, who, null, "");
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            channel.close();
+            onceHeard(() -> {
+                net.record(Event.Kind.RESET_SENT, id, who, null, "");
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            });
         }
     }
 
     @Override
     public void reading(boolean on) {
-        channel.config().setAutoRead(on);
+        reads = on;
+        channel.config().setAutoRead(reads && !held);
     }
 
     @Override
@@ -118,8 +162,11 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        up = true;
-        net.guarded(() -> handler.opened(this));
+        net.up(this);
+        onceHeard(() -> {
+            up = true;
+            net.guarded(() -> handler.opened(this));
+        });
     }
 
     @Override
--- a/lab/src/main/java/holdproxy/lab/emulator/RealNet.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/RealNet.java
@@ -46,6 +46,8 @@
         new DefaultThreadFactory("stand-ins", true), NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final List<Came> came = new ArrayList<>();
+    private final Set<RealLink> links = new LinkedHashSet<>();
+    private final Set<Object> cut = new HashSet<>();
     private final long origin = System.nanoTime();
     private final long unixAtOrigin = System.currentTimeMillis();
     private final Record record = new Record();
@@ -172,6 +174,30 @@
         });
     }
 
+    /**
+     * Cuts whoever this is, a stand-in by its name or a program by where it listens, off from everything, or joins it
+     * again. Nothing of it is read here and nothing written; kernels go on taking dials and some bytes.
+     */
+    void isolate(Object place, boolean on) {
+        if (on) {
+            cut.add(place);
+        } else {
+            cut.remove(place);
+        }
+        List.copyOf(links).forEach(this::holdIfCut);
+    }
+
+    private void holdIfCut(RealLink l) {
+        l.hold(cut.stream().anyMatch(l::touches));
+    }
+
+    /** A connection that has come up. */
+    void up(RealLink l) {
+        links.add(l);
+        l.onClose(() -> links.remove(l));
+        holdIfCut(l);
+    }
+
     /** What has come on a connection, to be recorded and told in its turn. */
     private record Came(RealLink link, Event.Kind kind, byte[] bytes) {
     }
--- a/lab/src/test/java/holdproxy/lab/emulator/RealNetTest.java
+++ b/lab/src/test/java/holdproxy/lab/emulator/RealNetTest.java
@@ -7,8 +7,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdproxy.lab.check.Event;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -132,6 +135,84 @@
         }
     }
 
+    /** Danger: what is cut off hears or is heard, by an old connection or a new one; or loses what was on its way. */
+    @Test
+    void whatIsCutOffNeitherHearsNorIsHeardUntilItIsBack() throws Exception {
+        for (boolean byName : new boolean[] {true, false}) {
+            accepted.clear();
+            Listening listening = listen(true);
+            Object place = byName ? "server" : listening.address();
+            try (Socket old = new Socket(); Socket fresh = new Socket()) {
+                old.connect(listening.address());
+                old.getOutputStream().write(Told.bytes("a"));
+                assertEquals('a', old.getInputStream().read());
+                net.run(() -> {
+                    net.isolate(place, true);
+                    accepted.get(0).link.send(Told.bytes("said"));
+                });
+                old.getOutputStream().write(Told.bytes("b"));
+                fresh.connect(listening.address());
+                fresh.getOutputStream().write(Told.bytes("c"));
+                Told other = dial(listen(true).address()); // what is not cut off goes on meanwhile
+                if (!byName) {
+                    await(() -> other.link != null);
+                    net.run(() -> other.link.send(Told.bytes("round")));
+                    await(() -> other.text.toString().equals("round"));
+                }
+                for (int turns = 0; turns < 50; turns++) {
+                    net.run(() -> { });
+                }
+                assertEquals(0, old.getInputStream().available() + fresh.getInputStream().available());
+                net.run(() -> {
+                    assertEquals("a", accepted.get(0).text.toString());
+                    net.isolate(place, false);
+                });
+                assertEquals("saidb", new String(old.getInputStream().readNBytes(5)));
+                assertEquals('c', fresh.getInputStream().read());
+            }
+        }
+    }
+
+    /** The same for a program, by where it listens: what a stand-in ends or resets meanwhile gets there afterwards. */
+    @Test
+    void anEndAndAResetWaitAsWell() throws Exception {
+        try (ServerSocket program = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress at = (InetSocketAddress) program.getLocalSocketAddress();
+            Told ends = dial(at);
+            Told resets = dial(at);
+            await(() -> ends.link != null && resets.link != null);
+            try (Socket one = program.accept(); Socket two = program.accept()) {
+                net.run(() -> {
+                    net.isolate(at, true);
+                    ends.link.send(Told.bytes("last"));
+                    ends.link.end();
+                    resets.link.reset();
+                    assertFalse(resets.link.open());
+                });
+                one.getOutputStream().write('x');
+                two.getOutputStream().write('x');
+                for (int turns = 0; turns < 50; turns++) {
+                    net.run(() -> { });
+                }
+                assertEquals(0, one.getInputStream().available() + two.getInputStream().available());
+                assertEquals(0, events(Event.Kind.END_SENT, "client").size() + events(Event.Kind.RESET_SENT, "client").size());
+                net.run(() -> net.isolate(at, false));
+                boolean[] reset = {false};
+                StringBuilder came = new StringBuilder();
+                for (Socket s : new Socket[] {one, two}) {
+                    try {
+                        came.append(new String(s.getInputStream().readAllBytes()));
+                    } catch (SocketException e) {
+                        reset[0] = true;
+                    }
+                }
+                assertEquals("last", came.toString());
+                assertTrue(reset[0]);
+                await(() -> ends.text.toString().equals("x"));
+            }
+        }
+    }
+
     /** Danger: a closed listener goes on accepting, or a refused dial is not told. */
     @Test
     void isRefusedWhereNobodyListens() {
