Stand-ins that stood still themselves say so, and blame nobody for it

Measured: AnswerRuleTest holds both sides (fails without it); RealNetTest holds the thread for half a second and finds it told.

--- a/lab/src/main/java/holdproxy/lab/emulator/RealNet.java
+++ b/lab/src/main/java/holdproxy/lab/emulator/RealNet.java
@@ -41,6 +41,9 @@
     private static final int BACKLOG = 512;
     private static final int LOOK_MS = 1;
     private static final long CLOSE_MS = 5_000;
+    private static final long BEAT_MS = 50;
+    /** Later than this by itself, it cannot tell who else was late. */
+    private static final long BLIND_MS = 250;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
         new DefaultThreadFactory("stand-ins", true), NioIoHandler.newFactory());
@@ -56,7 +59,21 @@
     private final Map<InetSocketAddress, String> diallers = new HashMap<>();
     private Throwable fault;
     private long nextLink = 1;
+    private long beatNs = nowNs();
 
+    RealNet() {
+        loop.scheduleWithFixedDelay(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Danger: a thread that stood still blames programs for what it did not see in time. It says so instead. */
+    private void beat() {
+        long now = nowNs();
+        long late = now - beatNs - BEAT_MS * 1_000_000;
+        if (late > BLIND_MS * 1_000_000) {
+            fact("stand-ins", "blind", Long.toString(late));
+        }
+        beatNs = now;
+    }
     @Override
     public long nowNs() {
         return System.nanoTime() - origin;
--- a/lab/src/test/java/holdproxy/lab/check/AnswerRuleTest.java
+++ b/lab/src/test/java/holdproxy/lab/check/AnswerRuleTest.java
@@ -169,6 +169,16 @@
                 *10 A> mg x v Oa Pc=lookup,t=t,d=100
                 50 p1: paused 250000000
                 *400 A< SERVER_ERROR failed
+                """),
+            planted("longer than the stand-ins stood still", ANSWER, "due by 0.370 s", """
+                *10 A> mg x v Oa Pc=lookup,t=t,d=100
+                300 stand-ins: blind 250000000
+                *400 A< SERVER_ERROR failed
+                """),
+            planted("long before the stand-ins stood still", ANSWER, "due by 0.180 s", """
+                *10 A> mg x v Oa Pc=lookup,t=t,d=100
+                *400 A< SERVER_ERROR failed
+                900 stand-ins: blind 250000000
                 """));
     }
 
@@ -469,6 +479,16 @@
                 50 p1: paused 500000000
                 600 A< SERVER_ERROR failed
                 """, "failed"),
+            clean("the stand-ins stood still, and saw it afterwards", """
+                10 A> mg x v Oa Pc=lookup,t=t,d=100
+                600 stand-ins: blind 500000000
+                601 A< SERVER_ERROR failed
+                """, "failed"),
+            clean("its client stood still, and left before it read", """
+                10 A> mg x v Oa Pc=lookup,t=t,d=100
+                600 stand-ins: blind 500000000
+                600 c1: gone a
+                """, "gone"),
             clean("still open at the end", """
                 39000 A> mg x v Oa Pc=lookup,t=t,d=1500
                 """, "open at the end"),
--- a/lab/src/test/java/holdproxy/lab/emulator/RealNetTest.java
+++ b/lab/src/test/java/holdproxy/lab/emulator/RealNetTest.java
@@ -135,6 +135,22 @@
         }
     }
 
+    /** Danger: programs are blamed for what stand-ins that stood still saw too late. */
+    @Test
+    void aStandStillOfItsOwnIsInTheRecord() {
+        net.run(() -> { });
+        long began = System.nanoTime();
+        net.run(() -> {
+            while (System.nanoTime() - began < 500_000_000L) {
+                Thread.onSpinWait(); // what is forced is that it stands still for so long
+            }
+        });
+        await(() -> !events(Event.Kind.FACT, "stand-ins").isEmpty());
+        Event told = events(Event.Kind.FACT, "stand-ins").get(0);
+        assertTrue(told.note().matches("blind \\d+"), told.note());
+        assertTrue(Long.parseLong(told.note().split(" ")[1]) > 250_000_000L, told.note());
+    }
+
     /** Danger: what is cut off hears or is heard, by an old connection or a new one; or loses what was on its way. */
     @Test
     void whatIsCutOffNeitherHearsNorIsHeardUntilItIsBack() throws Exception {
