Logs: list calls, lists, node states, reasons of closes; requests with LB_LOG=requests

Need: the logs could not tell whether a proxy at fault had a list, which call brought it, and when an attempt was decided on and written.

--- a/proxy/src/main/java/holdproxy/Choice.java
+++ b/proxy/src/main/java/holdproxy/Choice.java
@@ -202,6 +202,7 @@
         double chance = live.min(tenant, now);
         if (chance > 0 && random.unit() < chance) {
             report(now, "refusing requests", out);
+            out.explain(q.id, Reason.TENANT);
             if (q.repeat && !set.classes[type].outlasts(set)) {
                 out.fail(q.id); // an earlier try may have run, and its repeats be dropped no longer
             } else {
@@ -381,6 +382,8 @@
     private void send(Open r, Target t, long now, Actions out) {
         long left = giveUpAt(r) - now;
         if (t == null || left <= 0 || r.attempts >= attemptsMost) {
+            out.explain(r.id, left <= 0 ? Reason.TIME_OVER
+                : r.attempts >= attemptsMost ? Reason.ATTEMPTS_USED : Reason.NO_NODE);
             if (r.out == 0) {
                 finish(r, now, out); // else an attempt still out may bring the answer
             }
@@ -440,6 +443,9 @@
         // what is worth more goes on longer: each class meets the chance to the power of its worth
         boolean refused = chance > 0 && random.unit() < Math.pow(chance, r.type.worth / leastWorth);
         Target t = refused ? null : origin();
+        if (refused) {
+            out.explain(r.id, Reason.ORIGIN);
+        }
         t = t == null || mayResend(r, t, now) ? t : null; // an earlier attempt of a missed read may have run
         r.atOrigin |= t != null;
         send(r, t, now, out);
@@ -452,6 +458,11 @@
         boolean may = budget >= price && giveUpAt(r) > now && (r.out == 0 || set.secondCopies);
         Target t = !may || r.attempts >= attemptsMost ? null : toOrigin ? origin() : choose(r, now);
         if (t == null || !mayResend(r, t, now)) {
+            if (budget < price) {
+                out.explain(r.id, Reason.RETRY_BUDGET);
+            } else if (t != null) {
+                out.explain(r.id, Reason.NOT_REPEATABLE);
+            }
             send(r, null, now, out);
             return;
         }
--- a/proxy/src/main/java/holdproxy/Router.java
+++ b/proxy/src/main/java/holdproxy/Router.java
@@ -246,8 +246,32 @@
         public boolean keyless;
     }
 
+    /** Why a request gets no attempt, or no further one. */
+    enum Reason {
+        /** Its tenant is being refused, by chance. */
+        TENANT,
+        /** No cache node may be sent this request now. */
+        NO_NODE,
+        /** Retries are paid from a budget, which is used up. */
+        RETRY_BUDGET,
+        /** An earlier attempt may have run, and its class allows no repeat any more. */
+        NOT_REPEATABLE,
+        /** The origin fails. */
+        ORIGIN,
+        /** All attempts that the settings allow were made. */
+        ATTEMPTS_USED,
+        /** Its time is over. */
+        TIME_OVER
+    }
+
     /** What a router asks of its proxy. */
     interface Actions {
+        /** Said right before an answer that no cache node gave, or instead of a retry; for logs only. */
+        default void explain(long request, Reason why) {
+            // nobody listens
+        }
+
+
         /** Starts the request's next attempt; attempts count from 0. {@code timeoutUs} 0: until it is due. */
         void send(long request, int node, long timeoutUs);
 
--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -146,7 +146,7 @@
         try {
             decoder.resume();
         } catch (Exception e) {
-            channel.close();
+            close(CloseReason.BROKEN);
         }
     }
 
@@ -388,7 +388,8 @@
         slot.exchange = null;
         proxy.untaken(answer.readableBytes());
         if (proxy.tooMuchUntaken()) {
-            channel.close(); // clients that do not take their answers must not fill our memory with them
+            // clients that do not take their answers must not fill our memory with them
+            close(CloseReason.NOT_TAKEN);
             return;
         }
         boolean any = false;
@@ -444,6 +445,13 @@
     }
 
     void abort() {
+        close(CloseReason.RESTS);
+    }
+
+    private void close(CloseReason why) {
+        if (channel.isOpen()) {
+            proxy.closesClient(channel, why);
+        }
         channel.close();
     }
 
@@ -490,7 +498,7 @@
             if (f.isSuccess()) {
                 ((DuplexChannel) channel).shutdownOutput();
             }
-            channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            channel.eventLoop().schedule(() -> close(CloseReason.LINGERED), LINGER_MS, TimeUnit.MILLISECONDS);
         });
         throttle();
         slowly(untaken);
@@ -508,7 +516,7 @@
         if (untaken > 0) {
             end();
         } else {
-            channel.close();
+            close(CloseReason.LOST_FRAMING);
         }
     }
 
@@ -522,7 +530,7 @@
                 if (untaken < before) {
                     slowly(untaken);
                 } else {
-                    channel.close();
+                    close(CloseReason.TOO_SLOW);
                 }
             }, SLOW_MS, TimeUnit.MILLISECONDS);
         }
@@ -545,6 +553,6 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        ctx.close(); // a broken client connection ends alone
+        close(CloseReason.BROKEN); // a broken client connection ends alone
     }
 }
--- a/proxy/src/main/java/holdproxy/net/Discovery.java
+++ b/proxy/src/main/java/holdproxy/net/Discovery.java
@@ -111,6 +111,8 @@
     private final boolean pushed;
     private final int agentMs;
     private int agentTries;
+    /** Calls begun so far: the number by which the log tells one from another. */
+    private int calls;
 
     Discovery(Proxy proxy, Config config, EventLoop loop, Machine machine, Log log) {
         this.proxy = proxy;
@@ -200,7 +202,7 @@
 
     private void stopMoving() {
         if (successor != null) {
-            successor.silently();
+            successor.replaced("discovery moves again");
             successor = null;
         }
         if (moveRetry != null) {
@@ -247,7 +249,7 @@
         call.channel.pipeline().replace(ReadTimeoutHandler.class, null, silence(SILENCE_MS));
         successor = null;
         if (old != null) {
-            old.silently();
+            old.replaced("another service has taken over");
         }
     }
 
@@ -336,9 +338,11 @@
 
     /** One request to discovery: a watch or a single list. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+        private final int number = ++calls;
         private final boolean stream;
         private final InetSocketAddress at = address;
         private final long begunNs = loop.ticker().nanoTime();
+        private long heardNs = begunNs;
         private final ObjectStream objects = new ObjectStream();
         /** Of the list that is coming: its bytes, and its number, by which the timer on its end knows it. */
         private int size;
@@ -359,6 +363,8 @@
 
         Call(String path, boolean stream, int firstWordMs) {
             this.stream = stream;
+            log.line(Log.Topic.DISCOVERY, "discovery call " + number + ": GET " + path + " at "
+                + NetUtil.toSocketAddressString(at));
             Call call = this;
             new Bootstrap().group(loop).channelFactory(machine.outgoing())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, pushed ? agentMs : CONNECT_MS)
@@ -384,6 +390,15 @@
             }
         }
 
+        private long ms(long sinceNs) {
+            return TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime() - sinceNs);
+        }
+
+        private void replaced(String why) {
+            log.line(Log.Topic.DISCOVERY, "discovery call " + number + " closed: " + why);
+            silently();
+        }
+
         void silently() {
             over = true;
             if (channel != null) {
@@ -400,8 +415,8 @@
             long now = loop.ticker().nanoTime();
             olderSinceNs = olderCalls == 0 ? now : olderSinceNs;
             boolean anew = ++olderCalls >= OLDER_CALLS && now - olderSinceNs > OLDER_NS;
-            log.line("discovery tells version " + told + " after " + version
-                    + (anew ? ": it has begun anew" : ": not taken"));
+            log.line(Log.Topic.DISCOVERY, "discovery tells version " + told + " after " + version
+                    + (anew ? ": it has begun anew" : ": not taken") + " (call " + number + ")");
             if (anew && full) {
                 olderCalls = 0;
                 return false;
@@ -424,7 +439,8 @@
                 return;
             }
             silently();
-            log.line("discovery: " + why);
+            log.line(Log.Topic.DISCOVERY, "discovery: " + why + " (call " + number + ", " + ms(begunNs)
+                + " ms after its start, silent for " + ms(heardNs) + " ms)");
             if (this == successor) {
                 successorFailed();
                 return;
@@ -455,6 +471,7 @@
             if (over) {
                 return;
             }
+            heardNs = loop.ticker().nanoTime();
             if (message.decoderResult().isFailure()) {
                 failed("an answer that is no HTTP");
                 return;
@@ -572,6 +589,9 @@
                             + entries.size() + " nodes");
                     taken(this);
                 }
+                log.line(Log.Topic.DISCOVERY, "discovery call " + number + " tells version " + newVersion
+                    + (full ? ", the whole list, " : ", changes, ") + entries.size()
+                    + " nodes, after " + version);
                 version = spoilt == null ? newVersion : version; // what was skipped is asked for again
                 proxy.nodes(full ? Router.ListKind.FULL : Router.ListKind.DELTA, numbered(entries));
             } catch (BadInput e) {
--- a/proxy/src/main/java/holdproxy/net/NodeConnection.java
+++ b/proxy/src/main/java/holdproxy/net/NodeConnection.java
@@ -128,6 +128,11 @@
         Object command = timed ? new TimedWrite(bytes, () -> tooLateToRepeat(a)) : bytes;
         channel.writeAndFlush(command).addListener(f -> {
             a.written = f.isSuccess();
+            if (pool.pools.log.tracesRequests()) {
+                pool.pools.log.line(Log.Topic.REQUESTS, "request " + a.exchange.id + " attempt " + a.number
+                    + (a.written ? " written to " : " not written to ") + pool.name + " after "
+                    + (pool.pools.proxy.now() - a.sentUs) + " us");
+            }
             if (a.written && !closed && line.size() > 1) {
                 pool.pools.after(0, this::writeNext); // not from within its own loop
             }
@@ -160,7 +165,7 @@
         dial.cancel(false);
         if (pool.pools.proxy.now() - dialedUs > pool.pools.latestUs) {
             dropUnsent(); // the loop stood still meanwhile: the list may say by now that nothing goes there
-            close();
+            close(CloseReason.UP_TOO_LATE);
             return;
         }
         up = true;
@@ -196,13 +201,13 @@
             if (waited < pool.pools.dialUs) {
                 dropUnsent(); // the loop's lateness, not the node, has used up the time
             }
-            close();
+            close(CloseReason.NOT_UP);
         }
     }
 
     void dialed(ChannelFuture f) {
         if (!f.isSuccess()) {
-            gone();
+            gone(CloseReason.REFUSED);
         }
     }
 
@@ -219,7 +224,7 @@
         if (!a.handed) {
             line.remove(a);
             if (line.isEmpty() && !up) {
-                close();
+                close(CloseReason.GIVEN_UP);
             }
             return false;
         }
@@ -228,7 +233,7 @@
             return true;
         }
         boolean written = a.written;
-        close();
+        close(CloseReason.GIVEN_UP);
         return written;
     }
 
@@ -240,7 +245,8 @@
         }
         Attempt a = line.peek();
         if (a == null) {
-            close(); // more than belongs to the last answer: what else comes cannot be told from a next one
+            // more than belongs to the last answer: what else comes cannot be told from a next one
+            close(CloseReason.UNASKED);
             return;
         }
         if (!answer.unnamed() && answer.opaque.equals(answered)
@@ -263,7 +269,7 @@
         if (answer.unnamed() && doubtful && !pool.pools.secondCopies && answer.ending != Ending.MISS) {
             // it may be another's: sent again while it is out here, it would be a second copy
             line.poll();
-            close();
+            close(CloseReason.UNSURE);
             if (!a.over) {
                 end(a, answer.ending, answer);
             }
@@ -278,7 +284,7 @@
             end(a, answer.ending, answer);
         }
         if (retired && line.stream().allMatch(o -> o.over)) {
-            close();
+            close(CloseReason.RETIRED);
         }
     }
 
@@ -292,7 +298,7 @@
         if (resting && !closed) {
             resting = false;
             if (line.isEmpty() && (partial || retired)) {
-                close();
+                close(partial ? CloseReason.UNASKED : CloseReason.RETIRED);
             } else if (line.isEmpty()) {
                 pool.idle(this);
             }
@@ -315,7 +321,7 @@
         if (a != null) {
             end(a, Ending.SPOILT, null);
         }
-        close(); // whose its further answers are cannot be told
+        close(CloseReason.SPOILT); // whose its further answers are cannot be told
     }
 
     /** Idle connections are closed: so is this one, should it be about to become idle. */
@@ -347,27 +353,31 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        gone();
+        gone(CloseReason.ENDED);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        close();
+        close(CloseReason.BROKEN);
     }
 
     /** The bytes of what is still in line were either written, and may run, or never will be. */
-    void close() {
+    void close(CloseReason why) {
         if (!closed && channel != null) {
             channel.close();
         }
-        gone();
+        gone(why);
     }
 
-    private void gone() {
+    private void gone(CloseReason why) {
         if (closed) {
             return;
         }
         closed = true;
+        if (pool.pools.log.tracesRequests()) {
+            pool.pools.log.line(Log.Topic.REQUESTS, "connection to " + pool.name + " at " + to + " closed, "
+                + line.size() + " attempts on it: " + why.text);
+        }
         stopStall();
         if (dial != null) {
             dial.cancel(false);
--- a/proxy/src/main/java/holdproxy/net/NodeList.java
+++ b/proxy/src/main/java/holdproxy/net/NodeList.java
@@ -1,6 +1,7 @@
 package holdproxy.net;
 
 import holdproxy.Router;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,22 +11,29 @@
 
 /** The list of cache nodes as told: to the module, and to the pools, which know addresses. */
 final class NodeList {
+    /** Cache nodes that one line of the log names. */
+    private static final int MOST_NAMED = 12;
+
     private final Proxy proxy;
     private final NodePools pools;
     private final Discovery discovery;
+    private final Log log;
     /** Those in the list, with their states. */
     private final Map<Integer, Router.NodeState> listed = new HashMap<>();
 
-    NodeList(Proxy proxy, NodePools pools, Discovery discovery) {
+    NodeList(Proxy proxy, NodePools pools, Discovery discovery, Log log) {
         this.proxy = proxy;
         this.pools = pools;
         this.discovery = discovery;
+        this.log = log;
     }
 
     void told(Router.ListKind kind, List<Discovery.Entry> all) {
         Map<Integer, Discovery.Entry> last = new LinkedHashMap<>();
         all.forEach(e -> last.put(e.node().id, e)); // named twice, the later entry is how it is
         List<Discovery.Entry> entries = List.copyOf(last.values());
+        Map<Integer, Router.NodeState> before = Map.copyOf(listed);
+        Map<Integer, String> names = namesBefore();
         Router.Node[] nodes = new Router.Node[entries.size()];
         Set<Integer> named = new HashSet<>();
         for (int i = 0; i < nodes.length; i++) {
@@ -52,6 +60,33 @@
                 }
             }
         }
+        entries.forEach(e -> names.put(e.node().id, e.name()));
+        logChanges(before, names);
+    }
+
+    private Map<Integer, String> namesBefore() {
+        Map<Integer, String> names = new HashMap<>();
+        listed.keySet().forEach(id -> names.put(id, pools.get(id) == null ? "" : pools.get(id).name));
+        return names;
+    }
+
+    /** One line for all cache nodes whose state has changed, the first of them by name. */
+    private void logChanges(Map<Integer, Router.NodeState> before, Map<Integer, String> names) {
+        List<String> changes = new ArrayList<>();
+        Set<Integer> ids = new HashSet<>(before.keySet());
+        ids.addAll(listed.keySet());
+        for (Integer id : ids) {
+            Router.NodeState now = listed.getOrDefault(id, Router.NodeState.GONE);
+            Router.NodeState was = before.getOrDefault(id, Router.NodeState.GONE);
+            if (now != was) {
+                changes.add(Config.shown(names.get(id)) + " " + was + " to " + now);
+            }
+        }
+        if (!changes.isEmpty()) {
+            int shown = Math.min(MOST_NAMED, changes.size());
+            log.line(Log.Topic.DISCOVERY, "node list: " + String.join(", ", changes.subList(0, shown))
+                + (shown < changes.size() ? " and " + (changes.size() - shown) + " more" : ""));
+        }
     }
 
     /** Whether any can be sent to. */
--- a/proxy/src/main/java/holdproxy/net/NodePool.java
+++ b/proxy/src/main/java/holdproxy/net/NodePool.java
@@ -119,19 +119,20 @@
 
     void idle(NodeConnection c) {
         if (left) {
-            c.close();
+            c.close(CloseReason.NODE_LEFT);
             return;
         }
         if (!c.to.equals(address)) {
-            c.close(); // the node has moved meanwhile
+            c.close(CloseReason.MOVED);
             return;
         }
         if (c.doubtful() && doubtful.size() >= MOST_DOUBTFUL) {
-            doubtful.peekFirst().close(); // each busy to a write leaves one behind: they would fill the node
+            // each busy to a write leaves one behind: they would fill the node
+            doubtful.peekFirst().close(CloseReason.MAKES_ROOM);
         }
         (c.doubtful() ? doubtful : idle).addLast(c);
         // the node closes it at its own time; a request written then would end as a reset
-        idleTimers.put(c, pools.after(pools.idleUs, () -> c.close()));
+        idleTimers.put(c, pools.after(pools.idleUs, () -> c.close(CloseReason.IDLE)));
     }
 
     private void stopTimer(NodeConnection c) {
@@ -180,7 +181,7 @@
     }
 
     void closeIdle() {
-        while (closeOldest()) {
+        while (closeOldest(CloseReason.NODE_LEFT)) {
             // until none is left
         }
         all.forEach(NodeConnection::closeIfResting);
@@ -190,18 +191,18 @@
     boolean closeDoubtful() {
         NodeConnection c = doubtful.peekFirst();
         if (c != null) {
-            c.close();
+            c.close(CloseReason.MAKES_ROOM);
         }
         return c != null;
     }
 
     /** Closes the connection that has been idle longest, first of those for safe requests; false: none is. */
-    boolean closeOldest() {
+    boolean closeOldest(CloseReason why) {
         NodeConnection c = doubtful.isEmpty() ? idle.peekFirst() : doubtful.peekFirst();
         if (c == null) {
             return false;
         }
-        c.close();
+        c.close(why);
         return true;
     }
 }
--- a/proxy/src/main/java/holdproxy/net/NodePools.java
+++ b/proxy/src/main/java/holdproxy/net/NodePools.java
@@ -108,7 +108,7 @@
     /** A new connection; null where no descriptor is left for it. */
     NodeConnection open(NodePool pool) {
         if (open >= most && byId.values().stream().noneMatch(NodePool::closeDoubtful)
-                && byId.values().stream().noneMatch(NodePool::closeOldest)) {
+                && byId.values().stream().noneMatch(other -> other.closeOldest(CloseReason.MAKES_ROOM))) {
             return null;
         }
         open++;
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -5,6 +5,7 @@
 import holdproxy.Router;
 import holdproxy.limits.Blame;
 import holdproxy.limits.Turns;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -140,7 +141,7 @@
         int mostNodeSockets = left - mostSessions - Admission.MOST_REFUSING;
         pools = new NodePools(this, config, loop, machine, log, mostNodeSockets);
         discovery = new Discovery(this, config, loop, machine, log);
-        list = new NodeList(this, pools, discovery);
+        list = new NodeList(this, pools, discovery, log);
         listener = new Listener(this, config, loop, machine);
         // last: it sets timers at once, and a proxy that can't start for a bad list must call nobody
         List<Discovery.Entry> known = discovery.known();
@@ -408,6 +409,14 @@
         listener.left();
     }
 
+    /** Called before it is closed. */
+    void closesClient(Channel channel, CloseReason why) {
+        if (log.tracesRequests()) {
+            log.line(Log.Topic.REQUESTS,
+                "client connection " + channel.remoteAddress() + " closed: " + why.text);
+        }
+    }
+
     // ---- requests ----
 
     Exchange request(ClientSession session, ClientSession.Slot slot, Command c) {
@@ -434,6 +443,7 @@
         boolean safe = config.settings.classes[c.requestClass].effect == Router.Effect.SAFE;
         Exchange x = new Exchange(nextId++, c, session, slot, dueUs, safe);
         table.put(x.id, x);
+        trace(x, "(" + c.opaque + ") taken, class " + c.requestClass + ", due in " + (dueUs - now) + " us");
         heldBytes += c.valueBytes();
         x.overdue = after(Math.max(0, dueUs - now) + OVERDUE_US, () -> overdue(x));
         event(() -> {
@@ -465,7 +475,15 @@
         }
     }
 
+    private void trace(Exchange x, String what) {
+        if (log.tracesRequests()) {
+            log.line(Log.Topic.REQUESTS, "request " + x.id + " " + what);
+        }
+    }
+
     private void concluded(Exchange x, Counts.End how) {
+        trace(x, how + " after " + x.attempts.size() + " attempts, " + (x.dueUs - now())
+            + " us before it is due");
         counts.ended(x.command, how);
         x.answered = true;
         x.overdue.cancel(false);
@@ -519,6 +537,7 @@
         a.over = true;
         a.timer.cancel(false);
         x.out--;
+        trace(x, "attempt " + a.number + " ended " + ending + " after " + (now() - a.sentUs) + " us");
         NodePool by = a.connection == null ? null : a.connection.pool;
         if (by != null && (ending == Ending.SERVED || ending == Ending.REJECTED)
                 && by.rejects(x.session, ending == Ending.REJECTED)) {
@@ -626,6 +645,8 @@
         Attempt a = new Attempt(x, x.attempts.size(), now, wait, lateUs(now));
         x.attempts.add(a);
         x.out++;
+        trace(x, "attempt " + a.number + " to " + (pool == null ? "a node that is not listed" : pool.name)
+            + ", waits " + wait + " us");
         a.timer = after(wait, () -> timeOver(a));
         if (x.answered || wait <= 0 || pool == null || a.number >= config.settings.maxAttempts) {
             ended(a, Ending.NOT_SENT, null);
@@ -652,6 +673,14 @@
         }
     }
 
+    @Override
+    public void explain(long id, Router.Reason why) {
+        Exchange x = table.get(id);
+        if (x != null) {
+            trace(x, "is not sent on: " + why);
+        }
+    }
+
     @Override
     public void fail(long id) {
         Exchange x = table.get(id);
--- a/proxy/src/main/java/holdproxy/net/Service.java
+++ b/proxy/src/main/java/holdproxy/net/Service.java
@@ -25,7 +25,7 @@
     private static final long LAST_LINES_MS = 200;
 
     private final LogWriter writer = new LogWriter(System.err);
-    private final Log log = new Log(System::nanoTime, writer);
+    private final Log log = new Log(System::nanoTime, writer, System.getenv(Log.VARIABLE));
 
     private final Supplier<IoHandlerFactory> io;
     /** Null where none is asked for. */
