--- /dev/null
+++ b/proxy/src/test/java/holdproxy/net/ServingNode.java
@@ -0,0 +1,54 @@
+package holdproxy.net;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A cache node on a real socket that serves every read at once and counts them. */
+final class ServingNode implements Closeable {
+    final Peer.Listener listener = new Peer.Listener();
+    private final AtomicInteger served = new AtomicInteger();
+    private final Thread acceptor = new Thread(this::acceptAll, "serving node");
+
+    ServingNode() throws IOException {
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    /** How many reads have come. */
+    int served() {
+        return served.get();
+    }
+
+    private void acceptAll() {
+        try {
+            while (true) {
+                Peer connection = listener.take();
+                Thread server = new Thread(() -> serve(connection), "serving node's connection");
+                server.setDaemon(true);
+                server.start();
+            }
+        } catch (InterruptedException e) {
+            // closed by the test
+        }
+    }
+
+    private void serve(Peer connection) {
+        try {
+            connection.socket.setSoTimeout(0);
+            for (String line = connection.line(); line != null; line = connection.line()) {
+                served.incrementAndGet();
+                String id = line.split(" ")[3];
+                connection.send("VA 1 " + id + "\r\n1\r\n");
+            }
+        } catch (IOException e) {
+            // ended by the proxy or by the test
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        acceptor.interrupt();
+        listener.close();
+    }
+}
