--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -146,7 +146,7 @@
         try {
             decoder.resume();
         } catch (Exception e) {
-            close(CloseReason.BROKEN);
+            broken(e);
         }
     }
 
@@ -450,7 +450,7 @@
 
     private void close(CloseReason why) {
         if (channel.isOpen()) {
-            proxy.closesClient(channel, why);
+            proxy.closesClient(channel, why.text);
         }
         channel.close();
     }
@@ -553,6 +553,14 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        close(CloseReason.BROKEN); // a broken client connection ends alone
+        broken(cause); // a broken client connection ends alone
+    }
+
+    /** An error of the connection, as a reset by its client, or one of ours. */
+    private void broken(Throwable cause) {
+        if (channel.isOpen()) {
+            proxy.closesClient(channel, CloseReason.BROKEN.text + ": " + cause);
+        }
+        channel.close();
     }
 }
--- a/proxy/src/main/java/holdproxy/net/NodeConnection.java
+++ b/proxy/src/main/java/holdproxy/net/NodeConnection.java
@@ -358,6 +358,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!closed && pool.pools.log.tracesRequests()) {
+            pool.pools.log.line(Log.Topic.REQUESTS, "connection to " + pool.name + ": " + cause);
+        }
         close(CloseReason.BROKEN);
     }
 
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -415,10 +415,10 @@
     }
 
     /** Called before it is closed. */
-    void closesClient(Channel channel, CloseReason why) {
+    void closesClient(Channel channel, String why) {
         if (log.tracesRequests()) {
             log.line(Log.Topic.REQUESTS,
-                "client connection " + channel.remoteAddress() + " closed: " + why.text);
+                "client connection " + channel.remoteAddress() + " closed: " + why);
         }
     }
 
