A call that is never answered uses 4 s at most; a list that could not be read confirms nothing

Cause, by reading the change again: doubled limits would let two calls that are never answered take 7.5 s, more than the bound leaves; and a watch with a list that could not be read counted as heard, before it was asked again. Change: 2.5 s, then 4 s (dials 1 s, then 2 s after three in vain), no doubling; a spoilt list confirms nothing.

--- a/proxy/src/main/java/holdproxy/net/Discovery.java
+++ b/proxy/src/main/java/holdproxy/net/Discovery.java
@@ -57,6 +57,12 @@
     private static final int CONNECT_MS = 1000;
     /** From the connection to the first byte of the answer: a crowded service fails a call after 2 s. */
     private static final int FIRST_WORD_MS = 2500;
+    /**
+     * The same for a service that has proved slower. Danger: called again and again, it would never be heard;
+     * waited for much longer, one that hears but never answers would use up all the time that there is.
+     */
+    private static final int LATER_CONNECT_MS = 2000;
+    private static final int LATER_FIRST_WORD_MS = 4000;
     /** What is not heard of counts as told so long after the change. */
     private static final int TOLD_AT_LATEST_MS = 6000;
     /** What a new service has to tell counts as told so long after the reload that names it. */
@@ -69,8 +75,6 @@
     private static final int UNREACHABLE_DIALS = 3;
     /** A list must end within this time: longer than its lines take, shorter than the bound leaves. */
     private static final int LIST_ENDS_MS = 4000;
-    /** Danger: a service that is slower than the first of these waits would never be heard. */
-    private static final int MOST_PATIENCE_DOUBLINGS = 2;
 
     /**
      * A list older than the one held is not taken: it would bring back nodes that drain or are gone. One that
@@ -120,9 +124,10 @@
     private Future<?> moveRetry;
     private final RetryDelay moveDelay;
     private long moveBegunNs;
-    /** Dials in a row that did not come up; calls in a row that came up and were not answered in time. */
+    /** Dials in a row that did not come up. */
     private int failedDials;
-    private int unansweredCalls;
+    /** The last call that came up was not answered in time. */
+    private boolean unanswered;
     private int olderCalls;
     private long olderSinceNs;
     private long againNs;
@@ -317,11 +322,12 @@
     }
 
     private int connectMs() {
-        return pushed ? agentMs : patience(CONNECT_MS, failedDials / UNREACHABLE_DIALS);
+        int connectMs = failedDials < UNREACHABLE_DIALS ? CONNECT_MS : LATER_CONNECT_MS;
+        return pushed ? agentMs : connectMs;
     }
 
-    private static int patience(int firstMs, int failures) {
-        return firstMs << Math.min(failures, MOST_PATIENCE_DOUBLINGS);
+    private int firstWordMs() {
+        return unanswered && !pushed ? LATER_FIRST_WORD_MS : FIRST_WORD_MS;
     }
 
     private void dialFailed() {
@@ -388,8 +394,7 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         channel = ch;
-                        int firstWordMs = patience(FIRST_WORD_MS, unansweredCalls);
-                        ch.pipeline().addLast(silence(firstWordMs), new HttpClientCodec(), call);
+                        ch.pipeline().addLast(silence(firstWordMs()), new HttpClientCodec(), call);
                     }
                 })
                 .connect(at).addListener(NodePools.onLoop(loop, f -> dialed(f, path)));
@@ -408,6 +413,11 @@
             }
         }
 
+        /** Whether all that was to be told so far has come, and could be read. */
+        private boolean whole() {
+            return !objects.inside() && spoilt == null && (pushed || listed);
+        }
+
         long tookMs() {
             return msSince(begunNs);
         }
@@ -489,14 +499,14 @@
                 failed("answer " + r.status().code());
                 return;
             }
-            unansweredCalls = 0;
+            unanswered = false;
             if (!answered && this == watch) {
                 firstWord(ctx.channel());
             }
             answered = true;
             if (message instanceof HttpContent c) {
                 content(c.content());
-                if (!over && this == watch && !objects.inside() && (pushed || listed)) {
+                if (!over && this == watch && whole()) {
                     confirmed();
                 }
                 if (c instanceof LastHttpContent && !over) {
@@ -632,9 +642,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             silent = cause instanceof ReadTimeoutException;
-            if (silent && !answered) {
-                unansweredCalls++;
-            }
+            unanswered |= silent && !answered;
             failed(cause.getClass().getSimpleName());
         }
     }
