Readiness is a class of its own; an agent that lists and resets is called less and less

Cause, by reading the change again: each list taken reset the delay at an agent, so one that tells a list and resets was called every 10 to 30 ms without end (the state before doubled the wait unless the watch had lasted 2 s); and the line on readiness told of a list that discovery had not told where it takes no connection. Change: only a watch that lasted resets the delay; greetings, their wait and its cause moved from Proxy to Readiness, which logs the cause. Result: the start, watch, restart, discovery and line-length tests pass; the whole suite was not run on this commit yet.

--- a/proxy/src/main/java/holdproxy/net/Discovery.java
+++ b/proxy/src/main/java/holdproxy/net/Discovery.java
@@ -617,9 +617,6 @@
                     + " nodes, after " + version);
                 version = spoilt == null ? newVersion : version; // what was skipped is asked for again
                 listed = true;
-                if (this == watch) {
-                    watchDelay.succeeded();
-                }
                 proxy.nodes(full ? Router.ListKind.FULL : Router.ListKind.DELTA, numbered(entries));
             } catch (BadInput e) {
                 spoilt = "a list is skipped: " + e.getMessage();
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -35,7 +35,6 @@
     /** Of clients that are not read from, which are read all the same to see whether they have left. */
     private static final long MOST_AHEAD_BYTES = 2L << 20;
     private static final int MOST_OPEN = 4096;
-    private static final int MOST_GREETINGS = 4096;
     private static final long DEFAULT_ADVICE_US = 500_000;
     /** The client's clock started when it sent: what an answer needs to be with it in time. */
     private static final long TRANSIT_US = 5_000;
@@ -92,11 +91,8 @@
     private final Router.Request request = new Router.Request();
     private final Router.Report report = new Router.Report();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
-    /** Greetings that wait for an answer. */
-    private final ArrayDeque<Runnable> greetings = new ArrayDeque<>();
+    private final Readiness readiness;
     private boolean retired;
-    private boolean ready;
-    private boolean heard;
     private boolean lastAnswered;
     private boolean begun;
     /** Events that wait until what came during a pause is read, and after what pause they do. */
@@ -127,6 +123,7 @@
         originNs = loop.ticker().nanoTime();
         unixAtOriginUs = machine.unixMs().getAsLong() * 1000;
         counts = new Counts(config.settings);
+        readiness = new Readiness(log);
         int left = config.sockets - OWN_DESCRIPTORS;
         int mostSessions = left / 2;
         admission = new Admission(this, mostSessions, config.sockets / 4);
@@ -151,7 +148,7 @@
         router = wrap.apply(new Choice(config.settings, config.seed, now(), this));
         // at once: told after a list from the watch, the older one would bring back what is gone
         nodes(Router.ListKind.CACHED, known);
-        after(GREETING_MOST_US, this::ready);
+        after(GREETING_MOST_US, readiness::expired);
     }
 
     /** Not on the loop: waits for it, as do the next two. */
@@ -353,25 +350,12 @@
 
     // ---- client connections ----
 
-    /** The front sends clients to what has answered its greeting: not before a node can serve them. */
     void greet(ClientSession session, ClientSession.Slot slot) {
         // before it listens only the rehearsal asks
-        if (ready || !begun || greetings.size() >= MOST_GREETINGS) {
-            session.answer(slot, "MN");
+        if (begun) {
+            readiness.greet(() -> session.answer(slot, "MN"));
         } else {
-            greetings.add(() -> session.answer(slot, "MN"));
-        }
-    }
-
-    /** A node can be sent to, or the wait for one is over: where discovery is down, refusals tell of it. */
-    private void ready() {
-        if (!ready) {
-            log.line(heard ? "greetings are answered from here on"
-                : "greetings are answered from here on, though discovery has not told its list");
-        }
-        ready = true;
-        for (Runnable next = greetings.poll(); next != null; next = greetings.poll()) {
-            next.run();
+            session.answer(slot, "MN");
         }
     }
 
@@ -612,17 +596,12 @@
 
     void nodes(Router.ListKind kind, List<Discovery.Entry> entries) {
         list.told(kind, entries);
-        readyOnceListed();
+        readiness.nodes(list.serves());
     }
 
-    /**
-     * The watch speaks, and what it had to tell is taken in. Danger: what discovery has told others, or the
-     * agent has, counts as told before this process began, and a client served from the configuration's list
-     * was sent to a node that had drained long ago.
-     */
+    /** The watch speaks, and what it had to tell is taken in. */
     void heard() {
-        heard = true;
-        readyOnceListed();
+        readiness.waitsNoLonger(Readiness.Cause.LIST_HEARD, list.serves());
     }
 
     /**
@@ -631,13 +610,7 @@
      */
     void discoveryUnreachable() {
         if (config.settings.askForNodes) {
-            heard();
-        }
-    }
-
-    private void readyOnceListed() {
-        if (!ready && heard && list.serves()) {
-            ready();
+            readiness.waitsNoLonger(Readiness.Cause.UNREACHABLE, list.serves());
         }
     }
 
@@ -757,7 +730,7 @@
     /** How it is, for the control channel; on the loop. */
     Map<String, Object> status() {
         Map<String, Object> status = new LinkedHashMap<>();
-        boolean serves = ready && listener.listening();
+        boolean serves = readiness.ready() && listener.listening();
         status.put("phase", listener.draining() ? "draining" : serves ? "ready" : "starting");
         status.put("nodes", list.states());
         status.put("clients", admission.count());
