The log of node states looks at what a list names only; an immediate close has its own name

Cause: the log of states copied all names and states for each change on the event loop, and readiness looked for a node that serves at each heartbeat. Change: changes are noted where they are made; readiness asks only while it waits; ClientSession.close(reason) is closeNow, since close() waits for answers.

--- a/proxy/src/main/java/holdproxy/net/ClientSession.java
+++ b/proxy/src/main/java/holdproxy/net/ClientSession.java
@@ -389,7 +389,7 @@
         proxy.untaken(answer.readableBytes());
         if (proxy.tooMuchUntaken()) {
             // clients that do not take their answers must not fill our memory with them
-            close(CloseReason.NOT_TAKEN);
+            closeNow(CloseReason.NOT_TAKEN);
             return;
         }
         boolean any = false;
@@ -445,10 +445,10 @@
     }
 
     void abort() {
-        close(CloseReason.RESTS);
+        closeNow(CloseReason.RESTS);
     }
 
-    private void close(CloseReason why) {
+    private void closeNow(CloseReason why) {
         if (channel.isOpen()) {
             proxy.closesClient(channel, why.text);
         }
@@ -498,7 +498,8 @@
             if (f.isSuccess()) {
                 ((DuplexChannel) channel).shutdownOutput();
             }
-            channel.eventLoop().schedule(() -> close(CloseReason.LINGERED), LINGER_MS, TimeUnit.MILLISECONDS);
+            Runnable ended = () -> closeNow(CloseReason.LINGERED);
+            channel.eventLoop().schedule(ended, LINGER_MS, TimeUnit.MILLISECONDS);
         });
         throttle();
         slowly(untaken);
@@ -516,7 +517,7 @@
         if (untaken > 0) {
             end();
         } else {
-            close(CloseReason.LOST_FRAMING);
+            closeNow(CloseReason.LOST_FRAMING);
         }
     }
 
@@ -530,7 +531,7 @@
                 if (untaken < before) {
                     slowly(untaken);
                 } else {
-                    close(CloseReason.TOO_SLOW);
+                    closeNow(CloseReason.TOO_SLOW);
                 }
             }, SLOW_MS, TimeUnit.MILLISECONDS);
         }
--- a/proxy/src/main/java/holdproxy/net/NodeList.java
+++ b/proxy/src/main/java/holdproxy/net/NodeList.java
@@ -32,14 +32,14 @@
         Map<Integer, Discovery.Entry> last = new LinkedHashMap<>();
         all.forEach(e -> last.put(e.node().id, e)); // named twice, the later entry is how it is
         List<Discovery.Entry> entries = List.copyOf(last.values());
-        Map<Integer, Router.NodeState> before = Map.copyOf(listed);
-        Map<Integer, String> names = namesBefore();
+        List<String> changes = new ArrayList<>();
         Router.Node[] nodes = new Router.Node[entries.size()];
         Set<Integer> named = new HashSet<>();
         for (int i = 0; i < nodes.length; i++) {
             Discovery.Entry e = entries.get(i);
             nodes[i] = e.node();
             named.add(e.node().id);
+            changed(changes, e.node().id, e.name(), e.node().state);
             if (e.node().state != Router.NodeState.GONE) {
                 pools.put(e.node().id, e.name(), e.address(), e.node().startedUs);
                 listed.put(e.node().id, e.node().state);
@@ -56,32 +56,25 @@
         if (kind == Router.ListKind.FULL || kind == Router.ListKind.CACHED) {
             for (Integer id : List.copyOf(listed.keySet())) {
                 if (!named.contains(id)) {
+                    NodePool pool = pools.get(id);
+                    changed(changes, id, pool == null ? "" : pool.name, Router.NodeState.GONE);
                     left(id, true);
                 }
             }
         }
-        entries.forEach(e -> names.put(e.node().id, e.name()));
-        logChanges(before, names);
+        logged(changes);
     }
 
-    private Map<Integer, String> namesBefore() {
-        Map<Integer, String> names = new HashMap<>();
-        listed.keySet().forEach(id -> names.put(id, pools.get(id) == null ? "" : pools.get(id).name));
-        return names;
+    /** Called before the change is made. */
+    private void changed(List<String> changes, int id, String name, Router.NodeState now) {
+        Router.NodeState was = listed.getOrDefault(id, Router.NodeState.GONE);
+        if (now != was) {
+            changes.add(Config.shown(name) + " " + was + " to " + now);
+        }
     }
 
     /** One line for all cache nodes whose state has changed, the first of them by name. */
-    private void logChanges(Map<Integer, Router.NodeState> before, Map<Integer, String> names) {
-        List<String> changes = new ArrayList<>();
-        Set<Integer> ids = new HashSet<>(before.keySet());
-        ids.addAll(listed.keySet());
-        for (Integer id : ids) {
-            Router.NodeState now = listed.getOrDefault(id, Router.NodeState.GONE);
-            Router.NodeState was = before.getOrDefault(id, Router.NodeState.GONE);
-            if (now != was) {
-                changes.add(Config.shown(names.get(id)) + " " + was + " to " + now);
-            }
-        }
+    private void logged(List<String> changes) {
         if (!changes.isEmpty()) {
             int shown = Math.min(MOST_NAMED, changes.size());
             log.line(Log.Topic.DISCOVERY, "node list: " + String.join(", ", changes.subList(0, shown))
--- a/proxy/src/main/java/holdproxy/net/Proxy.java
+++ b/proxy/src/main/java/holdproxy/net/Proxy.java
@@ -596,12 +596,16 @@
 
     void nodes(Router.ListKind kind, List<Discovery.Entry> entries) {
         list.told(kind, entries);
-        readiness.nodes(list.serves());
+        if (!readiness.ready()) {
+            readiness.nodes(list.serves());
+        }
     }
 
     /** The watch speaks, and what it had to tell is taken in. */
     void heard() {
-        readiness.waitsNoLonger(Readiness.Cause.LIST_HEARD, list.serves());
+        if (!readiness.ready()) {
+            readiness.waitsNoLonger(Readiness.Cause.LIST_HEARD, list.serves());
+        }
     }
 
     /**
