Review case 2: untaken answers of some clients end the connections of others

The bound on answers that are not written yet is common to all client connections, and the connection whose answer exceeds it is closed, not one of those that hold the bytes.

Nothing outside review/ is touched.

--- a/review/src/review/UntakenAnswers.java
+++ b/review/src/review/UntakenAnswers.java
@@ -1,31 +1,44 @@
 package review;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Bad clients send many reads at once and take no answer. Good clients, on connections of their own, ask one read at a
- * time and take each answer at once. Broken, if the proxy ends a good client's connection with no whole answer to the
- * request on it.
+ * Clients send many reads at once, take no answer, and are gone 6 s later: bad clients, or clients whose machine was cut
+ * off. Beside them other clients, on connections of their own, ask one read at a time and take each answer at once.
+ * Broken, if one of these others gets no whole answer by half a second after its time, or if the proxy ends its
+ * connection without one.
  */
 final class UntakenAnswers extends Case {
     private static final int NODES = 8;
+    /** The longest value that the protocol page allows. */
     private static final int VALUE_BYTES = 64 << 10;
-    private static final int GOOD_CLIENTS = 10;
-    private static final int MAX_BAD_CLIENTS = Integer.getInteger("bad", 40);
-    private static final int BAD_READS = Integer.getInteger("reads", 100);
+
+    private static final int SOUND_CLIENTS = 15;
+    private static final int BAD_CLIENTS = 150;
+    /** What each bad client sends at once: the first ones this many reads, the others fewer. */
+    private static final int FIRST_BAD_READS = 128;
+
+    private static final int FIRST_BAD_CLIENTS = 16;
+    private static final int BAD_READS = 55;
+    private static final long BAD_INTERVAL_MS = 40;
+    /** STANDING: a zone is lost for 5 s, or cut off for 6 s. */
+    private static final long BAD_STAY_MS = 6_000;
+    /** A client that takes nothing holds little in its own buffer. */
     private static final int BAD_RECEIVE_BUFFER = 4096;
-    private static final int BAD_STAY_MS = Integer.getInteger("stay", 3000);
+
     private static final int WAIT_MS = 1200;
+    /** Up to half a second after its time an answer only earns nothing; each time limit is 50 ms longer on sockets. */
+    private static final int LOST_AFTER_MS = WAIT_MS + 500 + 50;
 
-    private final List<CacheNode> nodes = new ArrayList<>();
     private final AtomicInteger ids = new AtomicInteger();
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
-    private final AtomicInteger otherwise = new AtomicInteger();
+    private final AtomicInteger refusedOrFailed = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
     private volatile boolean ended;
 
@@ -36,7 +49,7 @@
     private static final class Node implements CacheNode.Behaviour {
         @Override
         public long serviceMs(CacheNode.Arrival arrival) {
-            return Integer.getInteger("service", 60);
+            return 60;
         }
 
         @Override
@@ -52,6 +65,7 @@
 
     @Override
     boolean play() throws Exception {
+        List<CacheNode> nodes = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
             nodes.add(new CacheNode("s-5be2a0" + (10 + i), "127.0.1." + (1 + i), new Node()));
         }
@@ -60,37 +74,27 @@
         discovery.list(41, list);
         ProxyProcess proxy = new ProxyProcess(record, root, temporary, "n0", freeAddress("127.0.0.1"));
         Path log = folder.resolve("proxy-n0.log");
-        java.nio.file.Files.deleteIfExists(log);
+        Files.deleteIfExists(log);
         proxy.start(discovery.address(), Site.settings("subscribe"), list, log);
         Client.greet(proxy.listen, 30_000);
         record.say("the proxy is ready");
-        List<Thread> good = new ArrayList<>();
-        for (int i = 0; i < GOOD_CLIENTS; i++) {
+        List<Thread> sound = new ArrayList<>();
+        for (int i = 0; i < SOUND_CLIENTS; i++) {
             String tenant = Site.TENANTS[1 + i % (Site.TENANTS.length - 1)];
-            good.add(Threads.start("good client " + i, () -> readAlong(proxy.listen, tenant)));
+            sound.add(Threads.start("sound client", () -> askOneAtATime(proxy.listen, tenant)));
         }
         Thread.sleep(2000);
-        List<Client> bad = new ArrayList<>();
-        if (trouble) {
-            for (int i = 0; i < MAX_BAD_CLIENTS; i++) {
-                bad.add(sendMuch(proxy.listen, i));
-                Client going = bad.get(i);
-                Threads.start("bad client", () -> {
-                    Thread.sleep(BAD_STAY_MS);
-                    going.close();
-                });
-                Thread.sleep(Integer.getInteger("gap",200));
+        long beganNs = System.nanoTime();
+        for (int i = 0; i < BAD_CLIENTS; i++) {
+            if (trouble) {
+                sendManyAndTakeNothing(proxy.listen, i);
             }
-        } else {
-            Thread.sleep(200L * MAX_BAD_CLIENTS);
+            Threads.sleepUntil(beganNs + (i + 1) * BAD_INTERVAL_MS * 1_000_000);
         }
-        Thread.sleep(5000);
+        Thread.sleep(BAD_STAY_MS + 2000);
         ended = true;
-        for (Thread thread : good) {
-            thread.join(5000);
-        }
-        for (Client client : bad) {
-            client.close();
+        for (Thread thread : sound) {
+            thread.join(2 * LOST_AFTER_MS);
         }
         if (!proxy.isAlive()) {
             record.say("the proxy has ended with code %d", proxy.exitCode());
@@ -98,47 +102,53 @@
         }
         proxy.kill();
         record.say(
-                "good clients: %d reads sent, %d served, %d refused or failed, %d ended with no answer",
-                sent.get(), served.get(), otherwise.get(), lost.get());
+                "sound clients: %d reads sent, %d served, %d refused or failed, %d lost",
+                sent.get(), served.get(), refusedOrFailed.get(), lost.get());
         return lost.get() == 0;
     }
 
-    private Client sendMuch(String address, int number) throws IOException {
+    private void sendManyAndTakeNothing(String address, int number) throws IOException {
         Client client = new Client(address, BAD_RECEIVE_BUFFER);
         StringBuilder commands = new StringBuilder();
-        for (int i = 0; i < BAD_READS; i++) {
+        int reads = number < FIRST_BAD_CLIENTS ? FIRST_BAD_READS : BAD_READS;
+        for (int i = 0; i < reads; i++) {
             commands.append(read(randomKey(), "O" + hex(ids.incrementAndGet()), Site.TENANTS[0], WAIT_MS));
         }
         client.send(commands.toString());
-        record.say("bad client %d has sent %d reads at once and takes no answer", number, BAD_READS);
-        return client;
+        record.line("bad client %d has sent %d reads at once and takes no answer", number, reads);
+        Threads.start("bad client", () -> {
+            Thread.sleep(BAD_STAY_MS);
+            client.close();
+            record.line("bad client %d has gone", number);
+        });
     }
 
-    private void readAlong(String address, String tenant) throws InterruptedException, IOException {
+    private void askOneAtATime(String address, String tenant) throws InterruptedException, IOException {
         Client client = new Client(address, 0);
         while (!ended) {
             String id = "O" + hex(ids.incrementAndGet());
-            String answer;
-            sent.incrementAndGet();
+            String answer = null;
+            String end = "the connection has ended";
             long sentNs = System.nanoTime();
             try {
-                client.socket.setSoTimeout(WAIT_MS + 600);
+                client.socket.setSoTimeout(LOST_AFTER_MS);
                 client.send(read(randomKey(), id, tenant, WAIT_MS));
+                sent.incrementAndGet();
                 answer = client.answer();
             } catch (IOException e) {
-                answer = null;
-                record.say("%s: %s", id, e);
+                end = e.toString();
             }
-            if (answer == null) {
+            double afterMs = (System.nanoTime() - sentNs) / 1e6;
+            if (answer == null || afterMs > LOST_AFTER_MS) {
                 lost.incrementAndGet();
-                record.say("%s: no answer, the connection has ended %.1f ms after it was sent", id, (System.nanoTime() - sentNs) / 1e6);
+                record.say("%s lost: %s, %.1f ms after it was sent", id, answer == null ? end : answer, afterMs);
                 client.close();
                 client = new Client(address, 0);
             } else {
-                (answer.startsWith("VA ") ? served : otherwise).incrementAndGet();
-                record.line("%s answered %s after %.1f ms", id, answer, (System.nanoTime() - sentNs) / 1e6);
+                (answer.startsWith("VA ") ? served : refusedOrFailed).incrementAndGet();
+                record.line("%s answered %s after %.1f ms", id, answer, afterMs);
             }
-            Thread.sleep(100);
+            Thread.sleep(50);
         }
         client.close();
     }
