--- a/review/src/review/ListService.java
+++ b/review/src/review/ListService.java
@@ -10,7 +10,8 @@
 
 /**
  * Discovery, or the agent that lists are pushed by: answers {@code GET /registry/instances} and keeps watches open. An
- * empty line goes out on each watch every 2 s. While it is silent, it takes connections and says nothing.
+ * empty line goes out on each watch every 2 s. While it is silent, it takes connections and says nothing. Open watches
+ * can also be made to fall silent alone, for ever; later ones are served.
  */
 final class ListService {
     private final Record record;
@@ -19,6 +20,9 @@
     private int version;
     private String list;
     private boolean silent;
+    private long silencedBefore = Long.MIN_VALUE;
+    /** How many of the next calls wait too long, and are answered with 503. */
+    private int turnedAway;
 
     ListService(Record record, String name, String address) throws IOException {
         this.record = record;
@@ -45,6 +49,22 @@
         notifyAll();
     }
 
+    /** All watches that are open now say nothing more. */
+    synchronized void silenceOpenWatches() {
+        silencedBefore = System.nanoTime();
+        record.say("%s: open watches have fallen silent", name);
+    }
+
+    /** The next calls are answered with 503 after 2 s each, as by a crowded service whose calls wait too long. */
+    synchronized void turnAwayNext(int calls) {
+        turnedAway = calls;
+        record.say("%s turns away the next %d calls, each after 2 s", name, calls);
+    }
+
+    private synchronized boolean turnsAway() {
+        return turnedAway > 0 && turnedAway-- > 0;
+    }
+
     private void accept() throws IOException {
         while (true) {
             Socket socket = listener.accept();
@@ -64,7 +84,11 @@
                 return;
             }
             record.line("%s: %s", name, request);
-            if (request.contains("stream=1")) {
+            if (turnsAway()) {
+                Thread.sleep(2000);
+                write(socket.getOutputStream(), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                record.line("%s: that call waited too long, 503", name);
+            } else if (request.contains("stream=1")) {
                 watch(socket, request);
             } else {
                 String body = next(-1, Long.MAX_VALUE);
@@ -80,10 +104,14 @@
         OutputStream out = socket.getOutputStream();
         next(-1, Long.MAX_VALUE);
         write(out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
+        long openedNs = System.nanoTime();
         int told = -1;
         while (true) {
             String body = next(told, System.nanoTime() + 2_000_000_000L);
             synchronized (this) {
+                while (openedNs < silencedBefore) {
+                    wait();
+                }
                 if (body != null) {
                     told = version;
                     record.line("%s: version %d written to a watch", name, version);
