--- a/review/src/review/CrowdedDiscovery.java
+++ b/review/src/review/CrowdedDiscovery.java
@@ -10,7 +10,7 @@
 /**
  * Lists are asked for. A probe of two open points of issue 33, not a case: {@code start}: a proxy is started 7 s after
  * cache nodes began to drain, with an older list, at a crowded discovery; {@code silence}: its watch falls silent, cache
- * nodes begin to drain, and discovery turns two calls away after 2 s each.
+ * nodes begin to drain, and discovery turns two calls (or as many as told) away after 2 s each.
  */
 final class CrowdedDiscovery extends Case {
     private static final int NODES = 8;
@@ -22,10 +22,12 @@
     private final List<CacheNode> nodes = new ArrayList<>();
     private volatile boolean ended;
     private boolean start;
+    private int turnedAway = 2;
 
     public static void main(String[] arguments) throws IOException {
         CrowdedDiscovery probe = new CrowdedDiscovery();
         probe.start = arguments[1].equals("start");
+        probe.turnedAway = arguments.length > 2 ? Integer.parseInt(arguments[2]) : 2;
         run(probe, arguments);
     }
 
@@ -72,7 +74,7 @@
             Thread.sleep(3000);
             if (trouble) {
                 discovery.silenceOpenWatches();
-                discovery.turnAwayNext(2);
+                discovery.turnAwayNext(turnedAway);
             }
             toldNs = System.nanoTime() + TOLD_AFTER_MS * 1_000_000;
             discovery.list(42, Site.list(42, true, nodes, DRAINING));
