--- a/review/src/review/CacheNode.java
+++ b/review/src/review/CacheNode.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /** A sound cache node: takes commands on connections that carry one at a time, and answers each after some time. */
 final class CacheNode {
@@ -22,6 +23,11 @@
 
         /** Called when a command has come; true: the node turns it away ({@code busy}). */
         boolean onArrival(Arrival arrival);
+
+        /** Spoilt answers: after how long a second answer follows, {@code SERVER_ERROR busy}; -1: none does. */
+        default long secondAnswerAfterMs(Arrival arrival) {
+            return -1;
+        }
     }
 
     final String id;
@@ -69,17 +75,34 @@
                             ? "HD " + arrival.opaque + " c" + arrival.opaque.substring(1)
                             : "VA " + value.length + " " + arrival.opaque + " h1";
                 }
-                out.write((answer + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
-                if (value != null) {
-                    java.util.Arrays.fill(value, (byte) 'v');
-                    out.write(value);
-                    out.write('\r');
-                    out.write('\n');
+                write(out, answer, value);
+                long secondAfterMs = behaviour.secondAnswerAfterMs(arrival);
+                if (secondAfterMs >= 0) {
+                    Threads.start("second answer", () -> {
+                        Thread.sleep(secondAfterMs);
+                        try {
+                            write(out, "SERVER_ERROR busy", null);
+                        } catch (IOException e) {
+                            // the proxy has ended the connection meanwhile
+                        }
+                    });
                 }
-                out.flush();
             }
         } catch (IOException e) {
             // the proxy has ended the connection, which gives up what is on it
         }
     }
+
+    private static void write(OutputStream out, String line, byte[] value) throws IOException {
+        synchronized (out) {
+            out.write((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            if (value != null) {
+                Arrays.fill(value, (byte) 'v');
+                out.write(value);
+                out.write('\r');
+                out.write('\n');
+            }
+            out.flush();
+        }
+    }
 }
