Fix: unread input of many clients used up the direct memory and stopped the event loop

On 55 of 135 reads of five clients that ask one at a time were lost.

Cause: Netty read each socket into a direct buffer of up to 64 KiB. Where ClientSession.mayRead held the decoder back, that buffer stayed with the connection, whole. The JVM may hold 16 MiB of direct memory (deploy file), so some 256 connections used it up, and each further read of any socket waited half a second in the JVM's attempts to free some.

Change: all client connections read into one reused direct buffer of 8 KiB, all connections to nodes into one of 64 KiB (ReusedReceiveBuffer). MetaProtocolDecoder copies what is not decoded to the heap, in a buffer of that size. Direct memory does not depend on the number of connections any more; the heap holds at most 16 KiB of a suspended connection, 8 MiB for all that the descriptors allow. A larger limit alone would have moved the fault to more connections.

--- a/proxy/src/main/java/cacheproxy/client/ClientConnections.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientConnections.java
@@ -1,6 +1,7 @@
 package cacheproxy.client;
 
 import cacheproxy.eventloop.EventLoopClock;
+import cacheproxy.eventloop.ReusedReceiveBuffer;
 import cacheproxy.limits.ByteBudget;
 import cacheproxy.limits.DeficitRoundRobin;
 import cacheproxy.logging.Log;
@@ -19,6 +20,8 @@
 
     private static final long MAX_INCOMING_VALUE_BYTES = 4L << 20;
     private static final long MAX_UNWRITTEN_RESPONSE_BYTES = 12L << 20;
+    /** The most that one read takes from a client, all of which may stay undecoded while its reading is suspended. */
+    private static final int MAX_READ_BYTES = 8 << 10;
     /** For connections whose reading is suspended and that are read ahead only to detect that the client closes. */
     private static final long MAX_READ_AHEAD_BYTES = 2L << 20;
 
@@ -32,6 +35,7 @@
     private final RequestNames names;
     private final RequestHandler handler;
     private final ConnectionLimiter limiter;
+    private final ReusedReceiveBuffer receiveBuffer = new ReusedReceiveBuffer(MAX_READ_BYTES);
     private final ByteBudget incomingValueBytes = new ByteBudget(MAX_INCOMING_VALUE_BYTES);
     private final ByteBudget readAheadBytes = new ByteBudget(MAX_READ_AHEAD_BYTES);
     /** Connections with bytes that are waiting to be decoded as commands. */
@@ -65,6 +69,7 @@
     /** Adds the handlers of a client connection to a new channel's pipeline. */
     public void initialize(Channel channel) {
         MetaCommandDecoder decoder = new MetaCommandDecoder(names, incomingValueBytes);
+        channel.config().setRecvByteBufAllocator(receiveBuffer);
         channel.pipeline().addLast(decoder, new ClientSession(this, decoder));
     }
 
--- a/proxy/src/main/java/cacheproxy/memcache/MetaProtocolDecoder.java
+++ b/proxy/src/main/java/cacheproxy/memcache/MetaProtocolDecoder.java
@@ -2,6 +2,7 @@
 
 import cacheproxy.limits.ByteBudget;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
@@ -13,6 +14,7 @@
  * The framing of the memcached text protocol: lines, some of them followed by a data block. Subclasses turn lines and
  * blocks into messages. One instance serves one connection, on its event loop. Memory is bounded: a line by
  * {@link #MAX_LINE_BYTES}, a block by the given maximum, the blocks of all connections of a kind by a shared budget.
+ * Undecoded bytes are copied to the heap, in a buffer of their size, so that no connection holds the receive buffer.
  */
 public abstract class MetaProtocolDecoder extends ByteToMessageDecoder {
     /** The longest line, without its line end. */
@@ -25,6 +27,9 @@
     /** Reserved for an announced block before its data arrives, so that a silent peer can't use up the budget. */
     private static final int INITIAL_BLOCK_BYTES = 4 << 10;
 
+    /** A buffer up to this size is not worth copying when most of it is decoded. */
+    private static final int MIN_COMPACTED_BYTES = 512;
+
     private static final int MAX_NUMBER_DIGITS = 9;
 
     /** Decides before each message whether to decode it now. After false, the owner calls {@link #resume} later. */
@@ -43,6 +48,9 @@
     private boolean growing;
 
     private boolean framingLost;
+    /** Whether the undecoded bytes are being copied, during which nothing is decoded. */
+    private boolean compacting;
+
     private ReadGate gate = () -> true;
     private ChannelHandlerContext context;
 
@@ -50,6 +58,7 @@
     protected MetaProtocolDecoder(int maxBlockBytes, ByteBudget budget) {
         this.maxBlockBytes = maxBlockBytes;
         this.budget = budget;
+        setCumulator(this::copyUndecoded);
     }
 
     /** Sets the gate; without one, every message is decoded as soon as it arrives. */
@@ -85,11 +94,43 @@
 
     /** Overridden because Netty's implementation would continue to read although auto-read is off. */
     @Override
-    public final void channelReadComplete(ChannelHandlerContext ctx) {
-        discardSomeReadBytes();
+    public final void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        releaseDecodedBytes();
         ctx.fireChannelReadComplete();
     }
 
+    private void releaseDecodedBytes() throws Exception {
+        if (actualReadableBytes() > 0 && isMostlyDecoded(internalBuffer())) {
+            compacting = true;
+            try {
+                channelRead(context, Unpooled.EMPTY_BUFFER);
+            } finally {
+                compacting = false;
+            }
+        }
+    }
+
+    private static boolean isMostlyDecoded(ByteBuf bytes) {
+        return bytes.capacity() > MIN_COMPACTED_BYTES && bytes.readableBytes() < bytes.capacity() / 2;
+    }
+
+    /** Returns all undecoded bytes in a heap buffer of their size; releases the buffers that they came in. */
+    private ByteBuf copyUndecoded(ByteBufAllocator allocator, ByteBuf undecoded, ByteBuf received) {
+        if (!received.isReadable() && !isMostlyDecoded(undecoded)) {
+            received.release();
+            return undecoded;
+        }
+        try {
+            return allocator
+                    .heapBuffer(undecoded.readableBytes() + received.readableBytes())
+                    .writeBytes(undecoded)
+                    .writeBytes(received);
+        } finally {
+            undecoded.release();
+            received.release();
+        }
+    }
+
     /**
      * Releases the received part of the current block and ignores all further input. Returns false if there is no block
      * or if this decoder is itself reserving more of the budget.
@@ -114,6 +155,9 @@
 
     @Override
     protected final void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (compacting) {
+            return;
+        }
         if (framingLost) {
             in.skipBytes(in.readableBytes());
         } else if (block != null) {
--- a/proxy/src/main/java/cacheproxy/upstream/EndpointPools.java
+++ b/proxy/src/main/java/cacheproxy/upstream/EndpointPools.java
@@ -2,6 +2,7 @@
 
 import cacheproxy.eventloop.EventLoopClock;
 import cacheproxy.eventloop.EventLoopListeners;
+import cacheproxy.eventloop.ReusedReceiveBuffer;
 import cacheproxy.limits.ByteBudget;
 import cacheproxy.logging.Log;
 import cacheproxy.memcache.MetaResponseDecoder;
@@ -25,6 +26,9 @@
     /** An idle connection is closed this fraction (1/n) of the idle timeout before the endpoint would close it. */
     private static final long IDLE_MARGIN_DIVISOR = 5;
 
+    /** The most that one read takes from an endpoint. */
+    private static final int MAX_READ_BYTES = 64 << 10;
+
     private static final long MAX_INCOMING_RESPONSE_BYTES = 12L << 20;
 
     final EventLoopClock clock;
@@ -77,6 +81,7 @@
         bootstrap = new Bootstrap()
                 .group(loop)
                 .channelFactory(channels)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ReusedReceiveBuffer(MAX_READ_BYTES))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0); // EndpointConnection's own timer allows for stalls
     }
 
--- a/proxy/src/test/java/cacheproxy/server/ProxyChildProcess.java
+++ b/proxy/src/test/java/cacheproxy/server/ProxyChildProcess.java
@@ -52,6 +52,7 @@
         boolean errorOutputUnread;
 
         int port;
+        List<String> jvmOptions = List.of("-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC");
         /** Environment variables besides those that every start needs. */
         Map<String, String> env = Map.of();
 
@@ -104,11 +105,10 @@
                 options.shellCommands + "; exec \"$@\"",
                 "sh",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC",
                 "-Xlog:class+load:file=" + classLoadingLog + "::filecount=0",
                 "-cp",
                 Jar.FILE + File.pathSeparator + System.getProperty("java.class.path"));
+        builder.command().addAll(options.jvmOptions);
         builder.command().addAll(List.of(options.program));
         builder.environment().putAll(ProxyFixture.env(config, discovery.address()));
         builder.environment().put("LB_LISTEN", "127.0.0.1:" + port);
@@ -124,6 +124,29 @@
         }
     }
 
+    /** The JVM options of the deploy file's {@code run} line, but for the archive of the packaged classes. */
+    static List<String> deployedJvmOptions() throws IOException {
+        for (String line : Files.readAllLines(Path.of("..", "deploy", "balancer.toml"))) {
+            if (line.startsWith("run = ")) {
+                return Stream.of(line.split(" "))
+                        .filter(word -> word.startsWith("-X") || word.startsWith("-D"))
+                        .filter(word -> !word.contains("SharedArchiveFile"))
+                        .toList();
+            }
+        }
+        throw new IOException("deploy/balancer.toml has no run line");
+    }
+
+    /** The most memory that the process has used so far, in bytes. */
+    long peakMemoryBytes() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+            if (line.startsWith("VmHWM:")) {
+                return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1024;
+            }
+        }
+        throw new IOException("no VmHWM");
+    }
+
     /**
      * Picks a free port below the range that the system assigns to clients: a client that repeatedly connects to a port
      * in that range, on which nobody listens yet, is eventually assigned the same port and connects to itself.
