--- a/proxy/src/main/java/cacheproxy/client/ClientSession.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientSession.java
@@ -16,8 +16,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -65,7 +63,7 @@
 
     private final ClientConnections connections;
     private final MetaCommandDecoder decoder;
-    private final ArrayDeque<ResponseSlot> slots = new ArrayDeque<>();
+    private final ResponseQueue responses;
     private final DeficitRoundRobin.FlowState flowState = new DeficitRoundRobin.FlowState();
     private Channel channel;
 
@@ -97,7 +95,6 @@
 
     // Writing
     private boolean flushDue;
-    private long unwrittenBytes;
 
     // Closing
     /** Whether further input is ignored: after framing was lost, or after the proxy has closed its output. */
@@ -125,12 +122,15 @@
     ClientSession(ClientConnections connections, MetaCommandDecoder decoder) {
         this.connections = connections;
         this.decoder = decoder;
+        responses = new ResponseQueue(
+                connections.clock(), connections.handler().failedLine(), connections::addUnwrittenResponseBytes);
         decoder.gate(this);
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        responses.channel(channel);
     }
 
     @Override
@@ -154,7 +154,7 @@
             inRead = true;
             connections.beginRead(flowState);
         }
-        boolean hasCapacity = !pausedAfterError && slots.size() < MAX_UNANSWERED;
+        boolean hasCapacity = !pausedAfterError && responses.size() < MAX_UNANSWERED;
         if (hasCapacity && flowState.hasCredit()) {
             return true;
         }
@@ -191,7 +191,7 @@
     }
 
     private void awaitTurnIfSuspended() {
-        if (decodingSuspended && !pausedAfterError && slots.size() < MAX_UNANSWERED) {
+        if (decodingSuspended && !pausedAfterError && responses.size() < MAX_UNANSWERED) {
             connections.awaitTurn(this, flowState);
         }
     }
@@ -203,7 +203,7 @@
     boolean isStuck(long now) {
         boolean commandsWait =
                 decodingSuspended && !pausedAfterError && undecodedSinceUs != 0 && now - undecodedSinceUs > STUCK_US;
-        return flushDue || commandsWait && slots.size() < MAX_UNANSWERED;
+        return flushDue || commandsWait && responses.size() < MAX_UNANSWERED;
     }
 
     /** How long the command being decoded may have waited in the proxy, in microseconds. */
@@ -227,8 +227,7 @@
             return;
         }
         inRead = true;
-        ResponseSlot slot = new ResponseSlot();
-        slots.add(slot);
+        ResponseSlot slot = responses.add();
         commandCompleted = true;
         boolean valid = !(message instanceof ProtocolError);
         if (!established && valid) {
@@ -293,8 +292,7 @@
 
     /** Sends an error line after all pending responses, then closes. */
     public void failConnection(String line) {
-        ResponseSlot slot = new ResponseSlot();
-        slots.add(slot);
+        ResponseSlot slot = responses.add();
         closesAfterResponses = true;
         ignoresInput = true; // reading goes on, to detect that the client closes
         respond(slot, line);
@@ -347,7 +345,7 @@
 
     /** Bounds memory: suspends reading from a client that sends endlessly or does not read its responses. */
     private void updateReading() {
-        boolean hasCapacity = !closesAfterResponses && slots.size() < MAX_UNANSWERED && channel.isWritable();
+        boolean hasCapacity = !closesAfterResponses && responses.size() < MAX_UNANSWERED && channel.isWritable();
         boolean autoRead = !pausedAfterError && !framingLost && !decodingSuspended && (ignoresInput || hasCapacity);
         channel.config().setAutoRead(autoRead);
         if (autoRead) {
@@ -374,8 +372,7 @@
     }
 
     private boolean hasOrMayHaveRequest() {
-        return slots.stream().anyMatch(slot -> slot.request() != null)
-                || !framingLost && (pausedAfterError || decodingSuspended);
+        return responses.hasOpenRequest() || !framingLost && (pausedAfterError || decodingSuspended);
     }
 
     private boolean mayReadAhead() {
@@ -411,7 +408,7 @@
     }
 
     public void respond(ResponseSlot slot, String line) {
-        respond(slot, encoded(line));
+        respond(slot, ResponseQueue.encoded(line));
     }
 
     /**
@@ -423,13 +420,12 @@
             response.release();
             return;
         }
-        slot.response(response);
-        connections.addUnwrittenResponseBytes(response.readableBytes());
+        responses.respond(slot, response);
         if (connections.hasTooManyUnwrittenBytes()) {
             close(ClientCloseReason.RESPONSES_NOT_READ);
             return;
         }
-        if (writeReadyResponses()) {
+        if (responses.writeReady()) {
             if (inRead) {
                 flushDue = true; // flush once for all responses of this read
             } else {
@@ -438,7 +434,7 @@
             awaitTurnIfSuspended();
             updateReading();
         }
-        if (slots.isEmpty()) {
+        if (responses.isEmpty()) {
             if (framingLost) {
                 channel.eventLoop()
                         .schedule(this::closeAfterLostFraming, PROTOCOL_ERROR_PAUSE_MS, TimeUnit.MILLISECONDS);
@@ -448,42 +444,12 @@
         }
     }
 
-    private boolean writeReadyResponses() {
-        boolean written = false;
-        while (!slots.isEmpty() && slots.peek().hasResponse()) {
-            ByteBuf response = stillValid(slots.poll());
-            int size = response.readableBytes();
-            unwrittenBytes += size;
-            channel.write(response).addListener(future -> {
-                unwrittenBytes -= size;
-                connections.addUnwrittenResponseBytes(-size);
-            });
-            written = true;
-        }
-        return written;
-    }
-
-    private ByteBuf stillValid(ResponseSlot slot) {
-        if (connections.clock().nowUs() <= slot.validUntilUs()) {
-            return slot.response();
-        }
-        connections.addUnwrittenResponseBytes(-slot.response().readableBytes());
-        slot.response().release();
-        ByteBuf failed = encoded(connections.handler().failedLine());
-        connections.addUnwrittenResponseBytes(failed.readableBytes());
-        return failed;
-    }
-
-    private static ByteBuf encoded(String line) {
-        return Unpooled.copiedBuffer(line + "\r\n", StandardCharsets.ISO_8859_1);
-    }
-
     // ---- closing ----
 
     /** Closes the connection once it has no unanswered request; until then it is still read. */
     void drain() {
         draining = true;
-        if (slots.isEmpty()) {
+        if (responses.isEmpty()) {
             checkIdle();
         }
     }
@@ -494,7 +460,7 @@
      */
     private void checkIdle() {
         idleCheckDue = inRead || decodingSuspended && !ignoresInput;
-        if (!slots.isEmpty() || idleCheckDue) {
+        if (!responses.isEmpty() || idleCheckDue) {
             return;
         }
         if (draining && !finalReadDone) {
@@ -529,7 +495,7 @@
      */
     boolean closeIfIdle() {
         readArrived();
-        if (!slots.isEmpty()) {
+        if (!responses.isEmpty()) {
             return false;
         }
         closeImmediately();
@@ -554,7 +520,7 @@
             channel.eventLoop().schedule(close, LINGER_MS, TimeUnit.MILLISECONDS);
         });
         updateReading();
-        cutOffSlowReader(unwrittenBytes);
+        cutOffSlowReader(responses.unwrittenBytes());
     }
 
     /** Responses to requests before the lost framing are still delivered, even to a client that reads slowly. */
@@ -563,7 +529,7 @@
             return;
         }
         readArrived(); // closing with unread bytes would send a reset
-        if (unwrittenBytes > 0) {
+        if (responses.unwrittenBytes() > 0) {
             closeOutput();
         } else {
             close(ClientCloseReason.FRAMING_LOST);
@@ -574,8 +540,8 @@
     private void cutOffSlowReader(long previouslyUnwrittenBytes) {
         if (previouslyUnwrittenBytes > 0) {
             Runnable check = () -> {
-                if (unwrittenBytes < previouslyUnwrittenBytes) {
-                    cutOffSlowReader(unwrittenBytes);
+                if (responses.unwrittenBytes() < previouslyUnwrittenBytes) {
+                    cutOffSlowReader(responses.unwrittenBytes());
                 } else {
                     close(ClientCloseReason.READS_TOO_SLOWLY);
                 }
@@ -588,15 +554,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         connections.connectionClosed(this);
         stopFarReadAhead();
-        for (ResponseSlot slot : slots) {
-            if (slot.hasResponse()) {
-                connections.addUnwrittenResponseBytes(-slot.response().readableBytes());
-                slot.response().release();
-            } else if (slot.request() != null) {
-                slot.request().clientClosed();
-            }
-        }
-        slots.clear();
+        responses.close();
     }
 
     @Override
--- /dev/null
+++ b/proxy/src/main/java/cacheproxy/client/ResponseQueue.java
@@ -0,0 +1,119 @@
+package cacheproxy.client;
+
+import cacheproxy.eventloop.EventLoopClock;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.function.IntConsumer;
+
+/**
+ * The requests of one connection that are not answered yet, each with a slot for its response, and the responses that
+ * the client has not taken. Responses are written in the order of the requests. Used on the event loop only.
+ */
+final class ResponseQueue {
+    private static final String LINE_END = "\r\n";
+
+    private final EventLoopClock clock;
+    /** The response in place of one that is no longer valid. */
+    private final String failedLine;
+    /** Called with each change of the bytes of responses that are not written yet. */
+    private final IntConsumer unwrittenBytesChanged;
+
+    private final ArrayDeque<ResponseSlot> slots = new ArrayDeque<>();
+    private Channel channel;
+    /** Bytes of responses that were passed to the channel and that the client has not taken yet. */
+    private long unwrittenBytes;
+
+    ResponseQueue(EventLoopClock clock, String failedLine, IntConsumer unwrittenBytesChanged) {
+        this.clock = clock;
+        this.failedLine = failedLine;
+        this.unwrittenBytesChanged = unwrittenBytesChanged;
+    }
+
+    /** Sets the channel that responses are written to; called before the first one. */
+    void channel(Channel channel) {
+        this.channel = channel;
+    }
+
+    /** Adds a slot behind all others. */
+    ResponseSlot add() {
+        ResponseSlot slot = new ResponseSlot();
+        slots.add(slot);
+        return slot;
+    }
+
+    /** The number of requests whose responses were not passed to the channel yet. */
+    int size() {
+        return slots.size();
+    }
+
+    boolean isEmpty() {
+        return slots.isEmpty();
+    }
+
+    /** Whether a request is open whose client can still leave. */
+    boolean hasOpenRequest() {
+        return slots.stream().anyMatch(slot -> slot.request() != null);
+    }
+
+    /** Bytes of responses that were passed to the channel and that the client has not taken yet. */
+    long unwrittenBytes() {
+        return unwrittenBytes;
+    }
+
+    /** Sets the response of a slot. Takes ownership of the buffer. */
+    void respond(ResponseSlot slot, ByteBuf response) {
+        slot.response(response);
+        unwrittenBytesChanged.accept(response.readableBytes());
+    }
+
+    /** Writes, without a flush, all responses that wait for no earlier one; returns whether there were any. */
+    boolean writeReady() {
+        boolean written = false;
+        while (!slots.isEmpty() && slots.peek().hasResponse()) {
+            ResponseSlot slot = slots.poll();
+            if (clock.nowUs() > slot.validUntilUs()) {
+                replaceByFailure(slot);
+            }
+            write(slot.response());
+            written = true;
+        }
+        return written;
+    }
+
+    private void write(ByteBuf response) {
+        int size = response.readableBytes();
+        unwrittenBytes += size;
+        channel.write(response).addListener(future -> {
+            unwrittenBytes -= size;
+            unwrittenBytesChanged.accept(-size);
+        });
+    }
+
+    private void replaceByFailure(ResponseSlot slot) {
+        ByteBuf failed = encoded(failedLine);
+        unwrittenBytesChanged.accept(failed.readableBytes() - slot.response().readableBytes());
+        slot.response().release();
+        slot.response(failed);
+    }
+
+    /** A response line with its line end. */
+    static ByteBuf encoded(String line) {
+        return Unpooled.copiedBuffer(line + LINE_END, StandardCharsets.ISO_8859_1);
+    }
+
+    /** The client has closed the connection: releases all responses and cancels the open requests. */
+    void close() {
+        for (ResponseSlot slot : slots) {
+            if (slot.hasResponse()) {
+                unwrittenBytesChanged.accept(-slot.response().readableBytes());
+                slot.response().release();
+            } else if (slot.request() != null) {
+                slot.request().clientClosed();
+            }
+        }
+        slots.clear();
+    }
+}
