Fix: who takes no answers gives way at their limit, not who is answered just then

Cause: ClientSession.respond counted unwritten responses for all connections together (12 MiB) and closed the connection whose response passed the bound, before it had tried to write it.

Change: a response is written first and counted then. Above the bound UnwrittenResponseLimiter chooses, each time whoever holds the most bytes: a client that has taken nothing for 0.1 s loses its connection; else responses that wait behind a pending one become "SERVER_ERROR failed", a final answer; else the largest holder's connection ends. The bound itself is as before.

--- a/proxy/src/main/java/cacheproxy/client/ClientConnections.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientConnections.java
@@ -41,6 +41,8 @@
     /** Connections with bytes that are waiting to be decoded as commands. */
     private final DeficitRoundRobin<ClientSession> turns = new DeficitRoundRobin<>(TURN_QUANTUM);
 
+    private final UnwrittenResponseLimiter unwrittenResponses;
+
     private boolean roundScheduled;
     private long unwrittenResponseBytes;
     /** Run once all connections are closed; null until they are to be closed. */
@@ -63,6 +65,7 @@
         this.names = names;
         this.handler = handler;
         limiter = new ConnectionLimiter(this, clock, maxConnections, maxEstablished);
+        unwrittenResponses = new UnwrittenResponseLimiter(limiter::openSessions);
         incomingValueBytes.reclaimWith(limiter::discardLongestIncomingValue);
     }
 
@@ -137,8 +140,11 @@
         unwrittenResponseBytes += change;
     }
 
-    boolean hasTooManyUnwrittenBytes() {
-        return unwrittenResponseBytes > MAX_UNWRITTEN_RESPONSE_BYTES;
+    /** Keeps the unwritten responses of all connections within their limit. */
+    void limitUnwrittenResponses() {
+        if (unwrittenResponseBytes > MAX_UNWRITTEN_RESPONSE_BYTES) {
+            unwrittenResponses.reduce(clock.nowUs(), () -> unwrittenResponseBytes > MAX_UNWRITTEN_RESPONSE_BYTES);
+        }
     }
 
     void connectionIdle(ClientSession session) {
--- a/proxy/src/main/java/cacheproxy/client/ClientSession.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientSession.java
@@ -421,10 +421,6 @@
             return;
         }
         responses.respond(slot, response);
-        if (connections.hasTooManyUnwrittenBytes()) {
-            close(ClientCloseReason.RESPONSES_NOT_READ);
-            return;
-        }
         if (responses.writeReady()) {
             if (inRead) {
                 flushDue = true; // flush once for all responses of this read
@@ -434,7 +430,8 @@
             awaitTurnIfSuspended();
             updateReading();
         }
-        if (responses.isEmpty()) {
+        connections.limitUnwrittenResponses();
+        if (responses.isEmpty() && channel.isActive()) {
             if (framingLost) {
                 channel.eventLoop()
                         .schedule(this::closeAfterLostFraming, PROTOCOL_ERROR_PAUSE_MS, TimeUnit.MILLISECONDS);
@@ -444,8 +441,22 @@
         }
     }
 
+    ResponseQueue responses() {
+        return responses;
+    }
+
+    /** Closes the connection because of the responses that are held for its client, and releases them. */
+    void closeForUnwrittenResponses() {
+        responses.failWaiting(); // the queue itself is released only after the close
+        close(ClientCloseReason.RESPONSES_NOT_READ);
+    }
+
     // ---- closing ----
 
+    boolean isOpen() {
+        return channel.isOpen();
+    }
+
     /** Closes the connection once it has no unanswered request; until then it is still read. */
     void drain() {
         draining = true;
--- a/proxy/src/main/java/cacheproxy/client/ConnectionLimiter.java
+++ b/proxy/src/main/java/cacheproxy/client/ConnectionLimiter.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Decides which client connections stay open: limits their number, and closes those that send nothing or stop in the
@@ -170,6 +171,11 @@
         return all.size();
     }
 
+    /** The registered connections that are not being closed. */
+    Stream<ClientSession> openSessions() {
+        return all.stream().filter(ClientSession::isOpen);
+    }
+
     List<ClientSession> all() {
         return List.copyOf(all);
     }
--- a/proxy/src/main/java/cacheproxy/client/ResponseQueue.java
+++ b/proxy/src/main/java/cacheproxy/client/ResponseQueue.java
@@ -23,8 +23,12 @@
 
     private final ArrayDeque<ResponseSlot> slots = new ArrayDeque<>();
     private Channel channel;
+    /** Bytes of responses that wait for the responses before them. */
+    private long waitingBytes;
     /** Bytes of responses that were passed to the channel and that the client has not taken yet. */
     private long unwrittenBytes;
+    /** When the client last took a whole response, or was first due to take one. */
+    private long takenUs;
 
     ResponseQueue(EventLoopClock clock, String failedLine, IntConsumer unwrittenBytesChanged) {
         this.clock = clock;
@@ -63,10 +67,44 @@
         return unwrittenBytes;
     }
 
+    /** Bytes of responses that wait for the responses before them. */
+    long waitingBytes() {
+        return waitingBytes;
+    }
+
+    /** Bytes of all responses that are held for the client. */
+    long heldBytes() {
+        return waitingBytes + unwrittenBytes;
+    }
+
+    /** Whether the client has taken none of the responses that were passed to the channel since {@code sinceUs}. */
+    boolean takesNothingSince(long sinceUs) {
+        return unwrittenBytes > 0 && takenUs <= sinceUs;
+    }
+
+    /** Whether a waiting response is longer than the failure that could replace it. */
+    boolean hasResponseToFail() {
+        return slots.stream().anyMatch(this::isLongerThanFailure);
+    }
+
+    private boolean isLongerThanFailure(ResponseSlot slot) {
+        return slot.hasResponse() && slot.response().readableBytes() > failedLine.length() + LINE_END.length();
+    }
+
+    /** Replaces the waiting responses by failures. */
+    void failWaiting() {
+        slots.stream().filter(this::isLongerThanFailure).forEach(this::replaceByFailure);
+    }
+
     /** Sets the response of a slot. Takes ownership of the buffer. */
     void respond(ResponseSlot slot, ByteBuf response) {
         slot.response(response);
-        unwrittenBytesChanged.accept(response.readableBytes());
+        changeWaiting(response.readableBytes());
+    }
+
+    private void changeWaiting(int change) {
+        waitingBytes += change;
+        unwrittenBytesChanged.accept(change);
     }
 
     /** Writes, without a flush, all responses that wait for no earlier one; returns whether there were any. */
@@ -85,16 +123,19 @@
 
     private void write(ByteBuf response) {
         int size = response.readableBytes();
+        waitingBytes -= size;
+        takenUs = unwrittenBytes == 0 ? clock.nowUs() : takenUs;
         unwrittenBytes += size;
         channel.write(response).addListener(future -> {
             unwrittenBytes -= size;
+            takenUs = clock.nowUs();
             unwrittenBytesChanged.accept(-size);
         });
     }
 
     private void replaceByFailure(ResponseSlot slot) {
         ByteBuf failed = encoded(failedLine);
-        unwrittenBytesChanged.accept(failed.readableBytes() - slot.response().readableBytes());
+        changeWaiting(failed.readableBytes() - slot.response().readableBytes());
         slot.response().release();
         slot.response(failed);
     }
@@ -108,7 +149,7 @@
     void close() {
         for (ResponseSlot slot : slots) {
             if (slot.hasResponse()) {
-                unwrittenBytesChanged.accept(-slot.response().readableBytes());
+                changeWaiting(-slot.response().readableBytes());
                 slot.response().release();
             } else if (slot.request() != null) {
                 slot.request().clientClosed();
