Fix: pipelines of some clients took all places for requests and all memory for values

What callers saw: clients that send one request were rejected with "busy" while others had enough under way.

Change: DynamicThreshold (Choudhury and Hahne, 1998). A connection may hold half as many requests, and half as many bytes of values, as are still free, one request at least; the rest waits undecoded in its own connection as it did beyond 128. RequestShares keeps the accounts. Alone a connection may hold 128 as before.

--- a/proxy/src/main/java/cacheproxy/client/ClientConnections.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientConnections.java
@@ -41,6 +41,7 @@
     /** Connections with bytes that are waiting to be decoded as commands. */
     private final DeficitRoundRobin<ClientSession> turns = new DeficitRoundRobin<>(TURN_QUANTUM);
 
+    private final RequestShares shares;
     private final UnwrittenResponseLimiter unwrittenResponses;
 
     private boolean roundScheduled;
@@ -52,6 +53,8 @@
      * @param maxConnections number of open connections above which new ones are rejected
      * @param maxEstablished number of connections that have sent a command above which those that were used only once
      *     are closed when idle
+     * @param maxRequests requests that can be in progress at a time
+     * @param maxValueBytes bytes of values of open requests
      */
     public ClientConnections(
             EventLoopClock clock,
@@ -59,12 +62,15 @@
             RequestNames names,
             RequestHandler handler,
             int maxConnections,
-            int maxEstablished) {
+            int maxEstablished,
+            int maxRequests,
+            long maxValueBytes) {
         this.clock = clock;
         this.log = log;
         this.names = names;
         this.handler = handler;
         limiter = new ConnectionLimiter(this, clock, maxConnections, maxEstablished);
+        shares = new RequestShares(maxRequests, maxValueBytes);
         unwrittenResponses = new UnwrittenResponseLimiter(limiter::openSessions);
         incomingValueBytes.reclaimWith(limiter::discardLongestIncomingValue);
     }
@@ -124,6 +130,10 @@
         return handler;
     }
 
+    RequestShares shares() {
+        return shares;
+    }
+
     ConnectionLimiter limiter() {
         return limiter;
     }
--- a/proxy/src/main/java/cacheproxy/client/ClientSession.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientSession.java
@@ -28,9 +28,6 @@
  */
 public final class ClientSession extends SimpleChannelInboundHandler<Object>
         implements MetaProtocolDecoder.ReadGate, RejectionEvidence {
-    /** Reading is suspended while the connection has this many unanswered requests. */
-    private static final int MAX_UNANSWERED = 128;
-
     /** How long the client is given to close its side after the proxy has closed its own. */
     private static final int LINGER_MS = 500;
     /** A closing connection is cut off if the client reads nothing of its last responses for this long. */
@@ -123,7 +120,10 @@
         this.connections = connections;
         this.decoder = decoder;
         responses = new ResponseQueue(
-                connections.clock(), connections.handler().failedLine(), connections::addUnwrittenResponseBytes);
+                connections.clock(),
+                connections.handler().failedLine(),
+                connections::addUnwrittenResponseBytes,
+                connections.shares());
         decoder.gate(this);
     }
 
@@ -154,7 +154,7 @@
             inRead = true;
             connections.beginRead(flowState);
         }
-        boolean hasCapacity = !pausedAfterError && responses.size() < MAX_UNANSWERED;
+        boolean hasCapacity = !pausedAfterError && responses.mayAdd();
         if (hasCapacity && flowState.hasCredit()) {
             return true;
         }
@@ -190,8 +190,9 @@
         updateReading();
     }
 
-    private void awaitTurnIfSuspended() {
-        if (decodingSuspended && !pausedAfterError && responses.size() < MAX_UNANSWERED) {
+    /** Queues the session for a turn if it has undecoded commands and there is room for their requests. */
+    void awaitTurnIfSuspended() {
+        if (decodingSuspended && !pausedAfterError && responses.mayAdd()) {
             connections.awaitTurn(this, flowState);
         }
     }
@@ -203,7 +204,7 @@
     boolean isStuck(long now) {
         boolean commandsWait =
                 decodingSuspended && !pausedAfterError && undecodedSinceUs != 0 && now - undecodedSinceUs > STUCK_US;
-        return flushDue || commandsWait && responses.size() < MAX_UNANSWERED;
+        return flushDue || commandsWait && responses.mayAdd();
     }
 
     /** How long the command being decoded may have waited in the proxy, in microseconds. */
@@ -240,7 +241,7 @@
             closesAfterResponses = true;
             respond(slot, connections.handler().overloadedLine("client connections"));
         } else if (message instanceof MetaCommand command) {
-            slot.request(connections.handler().onRequest(this, slot, command));
+            responses.opened(slot, connections.handler().onRequest(this, slot, command), command.valueBytes());
         } else if (message instanceof MetaNoOp) {
             connections.handler().onNoOp(this, slot);
         } else if (message instanceof ProtocolError error) {
@@ -345,7 +346,7 @@
 
     /** Bounds memory: suspends reading from a client that sends endlessly or does not read its responses. */
     private void updateReading() {
-        boolean hasCapacity = !closesAfterResponses && responses.size() < MAX_UNANSWERED && channel.isWritable();
+        boolean hasCapacity = !closesAfterResponses && responses.mayAdd() && channel.isWritable();
         boolean autoRead = !pausedAfterError && !framingLost && !decodingSuspended && (ignoresInput || hasCapacity);
         channel.config().setAutoRead(autoRead);
         if (autoRead) {
--- a/proxy/src/main/java/cacheproxy/client/ConnectionLimiter.java
+++ b/proxy/src/main/java/cacheproxy/client/ConnectionLimiter.java
@@ -183,6 +183,7 @@
     private void sweep() {
         clock.schedule(SWEEP_INTERVAL_US, this::sweep); // first, so that an exception below does not end the sweeps
         trim();
+        all.forEach(ClientSession::awaitTurnIfSuspended); // others may have released what it waits for
         long now = clock.nowUs();
         logStuck(now);
         failIncompleteCommands(now);
--- a/proxy/src/main/java/cacheproxy/client/ResponseQueue.java
+++ b/proxy/src/main/java/cacheproxy/client/ResponseQueue.java
@@ -21,8 +21,11 @@
     /** Called with each change of the bytes of responses that are not written yet. */
     private final IntConsumer unwrittenBytesChanged;
 
+    private final RequestShares shares;
     private final ArrayDeque<ResponseSlot> slots = new ArrayDeque<>();
     private Channel channel;
+    /** Bytes of the values of open requests. */
+    private long openValueBytes;
     /** Bytes of responses that wait for the responses before them. */
     private long waitingBytes;
     /** Bytes of responses that were passed to the channel and that the client has not taken yet. */
@@ -30,10 +33,11 @@
     /** When the client last took a whole response, or was first due to take one. */
     private long takenUs;
 
-    ResponseQueue(EventLoopClock clock, String failedLine, IntConsumer unwrittenBytesChanged) {
+    ResponseQueue(EventLoopClock clock, String failedLine, IntConsumer unwrittenBytesChanged, RequestShares shares) {
         this.clock = clock;
         this.failedLine = failedLine;
         this.unwrittenBytesChanged = unwrittenBytesChanged;
+        this.shares = shares;
     }
 
     /** Sets the channel that responses are written to; called before the first one. */
@@ -45,12 +49,26 @@
     ResponseSlot add() {
         ResponseSlot slot = new ResponseSlot();
         slots.add(slot);
+        shares.addRequests(1);
         return slot;
     }
 
-    /** The number of requests whose responses were not passed to the channel yet. */
-    int size() {
-        return slots.size();
+    /** Whether the connection's share has room for a further request. */
+    boolean mayAdd() {
+        return shares.hasRoom(slots.size(), openValueBytes);
+    }
+
+    /** The request of a slot is open; {@code request} is null if it was answered at once. */
+    void opened(ResponseSlot slot, ClientRequest request, int valueBytes) {
+        if (request != null && !slot.hasResponse()) {
+            slot.request(request, valueBytes);
+            changeValueBytes(valueBytes);
+        }
+    }
+
+    private void changeValueBytes(int change) {
+        openValueBytes += change;
+        shares.addValueBytes(change);
     }
 
     boolean isEmpty() {
@@ -98,6 +116,7 @@
 
     /** Sets the response of a slot. Takes ownership of the buffer. */
     void respond(ResponseSlot slot, ByteBuf response) {
+        changeValueBytes(-slot.valueBytes());
         slot.response(response);
         changeWaiting(response.readableBytes());
     }
@@ -112,6 +131,7 @@
         boolean written = false;
         while (!slots.isEmpty() && slots.peek().hasResponse()) {
             ResponseSlot slot = slots.poll();
+            shares.addRequests(-1);
             if (clock.nowUs() > slot.validUntilUs()) {
                 replaceByFailure(slot);
             }
@@ -155,6 +175,9 @@
                 slot.request().clientClosed();
             }
         }
+        shares.addValueBytes(-openValueBytes);
+        openValueBytes = 0;
+        shares.addRequests(-slots.size());
         slots.clear();
     }
 }
--- a/proxy/src/main/java/cacheproxy/client/ResponseSlot.java
+++ b/proxy/src/main/java/cacheproxy/client/ResponseSlot.java
@@ -6,6 +6,8 @@
 public final class ResponseSlot {
     private ByteBuf response;
     private ClientRequest request;
+    /** Bytes of the value of the open request; 0 if there is none. */
+    private int valueBytes;
     /** A response written after this time is replaced by a failure. */
     private long validUntilUs = Long.MAX_VALUE;
 
@@ -22,8 +24,13 @@
         return request;
     }
 
-    void request(ClientRequest openRequest) {
+    int valueBytes() {
+        return valueBytes;
+    }
+
+    void request(ClientRequest openRequest, int bytesOfValue) {
         request = openRequest;
+        valueBytes = bytesOfValue;
     }
 
     long validUntilUs() {
@@ -38,5 +45,6 @@
     void response(ByteBuf buffer) {
         response = buffer;
         request = null;
+        valueBytes = 0;
     }
 }
--- a/proxy/src/main/java/cacheproxy/server/ProxyServer.java
+++ b/proxy/src/main/java/cacheproxy/server/ProxyServer.java
@@ -88,8 +88,6 @@
         int descriptors = configuration.maxFileDescriptors - OWN_DESCRIPTORS;
         int maxClients = descriptors / 2;
         int maxEstablishedClients = configuration.maxFileDescriptors / ESTABLISHED_CLIENTS_DIVISOR;
-        clients =
-                new ClientConnections(clock, log, requestNames(settings), exchanges, maxClients, maxEstablishedClients);
         pools = new EndpointPools(
                 settings,
                 loop,
@@ -99,6 +97,15 @@
                 exchanges,
                 descriptors - maxClients - ClientConnections.MAX_REJECTING,
                 configuration.maxConnectionsPerEndpoint);
+        clients = new ClientConnections(
+                clock,
+                log,
+                requestNames(settings),
+                exchanges,
+                maxClients,
+                maxEstablishedClients,
+                Math.min(exchanges.maxOpen(), pools.maxAttempts()),
+                RequestExchanges.MAX_VALUE_BYTES);
         discovery = new DiscoveryClient(this, clock, configuration, loop, host, log);
         endpoints = new EndpointList(router, pools, discovery, log);
         listener = new ClientListener(clients, clock, configuration, loop, host);
--- a/proxy/src/main/java/cacheproxy/server/RequestExchanges.java
+++ b/proxy/src/main/java/cacheproxy/server/RequestExchanges.java
@@ -30,7 +30,9 @@
  * router requests, and gives each request exactly one response. Used on the event loop only.
  */
 final class RequestExchanges implements RequestHandler, AttemptListener {
-    private static final long MAX_VALUE_BYTES = 6L << 20;
+    /** Bytes of the values of all open requests. */
+    static final long MAX_VALUE_BYTES = 6L << 20;
+
     private static final int MAX_OPEN_REQUESTS = 4096;
     private static final long OVERLOADED_RETRY_AFTER_US = 500_000;
     /** Reserved for the response to reach the client, whose deadline counts from when it sent the request. */
@@ -73,6 +75,11 @@
         router.onReleased(this::settleReleased);
     }
 
+    /** The number of requests that may be open at a time. */
+    int maxOpen() {
+        return Math.min(MAX_OPEN_REQUESTS, settings.maxOpenRequests);
+    }
+
     /** The number of open requests. */
     int size() {
         return byId.size();
@@ -127,7 +134,7 @@
         if (finishing) {
             return "shutting down";
         }
-        if (byId.size() >= Math.min(MAX_OPEN_REQUESTS, settings.maxOpenRequests)) {
+        if (byId.size() >= maxOpen()) {
             return "open requests";
         }
         return valueBytes + command.valueBytes() > MAX_VALUE_BYTES ? "bytes of values" : null;
--- a/proxy/src/main/java/cacheproxy/upstream/EndpointPools.java
+++ b/proxy/src/main/java/cacheproxy/upstream/EndpointPools.java
@@ -114,6 +114,11 @@
         }
     }
 
+    /** The number of attempts that the connections of all endpoints have room for. */
+    public int maxAttempts() {
+        return maxConnections * streamsPerConnection;
+    }
+
     /** The pool of a listed endpoint; null if the endpoint is not listed. */
     public EndpointPool get(int endpoint) {
         return poolsByNumber.get(endpoint);
