The two known failures are traced: samples missed outages, too few repeats were seen

Cause, ProcessSiteTest: "nodes up" was read once a second, each time a second after the last sample had ended. Beside load the samples drift, and nodes that are down for 0.5 s lie between two of them. Forced: a restart of 0.2 s at 2.3 s showed 6 nodes up where 4 were. Cause, SocketRulesTest: the test wants more than two keyed writes of each group sent again and answered in time, and played for a fixed 3.4 s. Seen beside 28 busy processes on 8 cores: 3 of 78 of the group "cell". So the test saw too little; no rule was broken.

Change: SiteMetrics counts the fewest nodes that were up since the last sample (nodesThatAreDownBetweenTwoSamplesAreCounted fails without it). The load goes on, four rounds at the most, until enough repeats were seen; every check stays as it was.

--- a/lab/src/main/java/cacheproxy/lab/metrics/SiteMetrics.java
+++ b/lab/src/main/java/cacheproxy/lab/metrics/SiteMetrics.java
@@ -18,6 +18,9 @@
     private final List<double[]> loads = new ArrayList<>();
     private final List<double[]> proxyLoads = new ArrayList<>();
     private final List<double[]> counts = new ArrayList<>();
+    /** The fewest nodes that were up at once since the last sample. */
+    private int fewestUp = Integer.MAX_VALUE;
+
     private Sums before = new Sums(0, 0, 0, 0, 0, 0, 0);
     private Sums atStart;
 
@@ -46,6 +49,12 @@
         return new Sums(begun, across, hits, misses, origin.fetches, origin.rejected, workedMs);
     }
 
+    /** To be called when nodes have stopped: a node can be up again before the next sample. */
+    public void nodesStopped() {
+        fewestUp =
+                Math.min(fewestUp, (int) nodes.stream().filter(ScriptedNode::up).count());
+    }
+
     /** Samples the last second, to be called once a second; the load of proxies is measured by the caller. */
     public void sample(double proxies, double busiest, int running) {
         double sum = 0;
@@ -69,7 +78,8 @@
             sums.refused - before.refused
         });
         before = sums;
-        loads.add(new double[] {up == 0 ? 0 : sum / up, most, up});
+        loads.add(new double[] {up == 0 ? 0 : sum / up, most, Math.min(up, fewestUp)});
+        fewestUp = Integer.MAX_VALUE;
         proxyLoads.add(new double[] {running == 0 ? 0 : proxies / running, busiest, running});
     }
 
--- a/lab/src/main/java/cacheproxy/lab/process/ProcessSite.java
+++ b/lab/src/main/java/cacheproxy/lab/process/ProcessSite.java
@@ -386,6 +386,7 @@
 
     private void dies(ScriptedNode n, double downSeconds) {
         n.stop();
+        metrics.nodesStopped();
         after(model.discovery().goneMs() / 1e3, () -> {
             if (!n.up()) {
                 discovery.remove(n.name());
--- a/lab/src/test/java/cacheproxy/lab/process/ProcessSiteTest.java
+++ b/lab/src/test/java/cacheproxy/lab/process/ProcessSiteTest.java
@@ -100,6 +100,19 @@
         assertTrue(o.figures().get("across zones") > 0, "nothing went through the relay");
     }
 
+    /**
+     * Guards against: nodes that are down only between two samples, which are a second apart, look as if they had never
+     * been down. Beside much load the samples come late, which hid a restart of half a second.
+     */
+    @Test
+    void nodesThatAreDownBetweenTwoSamplesAreCounted() throws Exception {
+        Fault restart = new Fault(2.3, Fault.Kind.NODES_RESTARTED, 0.2, 1, 0.34, "", "");
+        Outcome o = ProcessSite.run(site(), List.of(restart), 3, program("cacheproxy.app.Main"));
+        assertEquals(List.of(), o.broken(), this::said);
+        assertEquals(
+                4, java.util.Arrays.stream(o.series().get("nodes up")).min().orElseThrow());
+    }
+
     /** Guards against: a site that is only said to be cut off, or one that is blamed for what could not reach it. */
     @Test
     void aSiteIsCutOffAndComesBackWarmAndNoRuleIsBroken() throws Exception {
--- a/lab/src/test/java/cacheproxy/lab/process/SocketRulesTest.java
+++ b/lab/src/test/java/cacheproxy/lab/process/SocketRulesTest.java
@@ -44,6 +44,9 @@
     /** For so long a retry waits for its connection before its node is told to drain. */
     private static final long WAITED_MS = 40;
 
+    /** Rounds of load for which a test waits at the most until it has seen enough of what it is about. */
+    private static final int MAX_ROUNDS = 4;
+
     private final SiteSettings settings = new SiteSettings();
     private LoopbackSite site;
 
@@ -374,6 +377,22 @@
         assertTrue(site.ledger.count(RequestLedger.Result.IN_TIME) > 40);
     }
 
+    /** Whether more than two keyed writes of each group were sent again and answered in time. */
+    private boolean repeatsWereSeen() {
+        return site.call(() -> {
+            Map<String, List<String>> begun = site.begun();
+            Map<String, Integer> repeated = new HashMap<>();
+            for (RequestLedger.Entry e : site.ledger.entries()) {
+                boolean again = e.ids.stream()
+                        .anyMatch(id -> begun.getOrDefault(id, List.of()).size() > 1);
+                if (again && e.result == RequestLedger.Result.IN_TIME) {
+                    repeated.merge(e.kind.name(), 1, Integer::sum);
+                }
+            }
+            return List.of("submit", "zone", "cell").stream().allMatch(kind -> repeated.getOrDefault(kind, 0) > 2);
+        });
+    }
+
     /**
      * Guards against: a keyed write is sent again, or refused with advice, where or when nodes no longer discard its
      * repeat. It runs, and its connection breaks so much later that the window's end lies in between.
@@ -430,7 +449,9 @@
             raw.whenText = raw::end;
             keyless.add(raw);
         });
-        site.flow(3400);
+        for (int round = 0; round < MAX_ROUNDS && (round == 0 || !repeatsWereSeen()); round++) {
+            site.flow(3400); // beside much load few repeats are in time, and a fixed time saw too few of them
+        }
         site.settle();
         site.await("all without a key are over", () -> keyless.stream().allMatch(r -> r.ended));
 
