Fix: an eighth of the places stays for connections that hold no request yet

What was seen: the whole check, beside three busy processes and the review's cases, failed in RequestSharesTest.servesOtherClientsWhilePipelinesHoldRequests ("busy 400" to a read; "no file descriptor left" in the log). Traced: no noise. Flooding connections that come one after the other each take half of what is left, and the last of them, with one request each, all of it.

Change: the half is taken of seven eighths of the places and of the memory for values. One request is always allowed, so the last eighth is left to connections that hold nothing.

Test: as it is.

--- a/proxy/src/main/java/cacheproxy/client/RequestShares.java
+++ b/proxy/src/main/java/cacheproxy/client/RequestShares.java
@@ -10,6 +10,8 @@
 final class RequestShares {
     /** A connection may hold as much as 1/n of what is free. */
     private static final int FREE_DIVISOR = 2;
+    /** 1/n of everything is kept for connections that hold nothing yet. */
+    private static final int RESERVE_DIVISOR = 8;
     /** A connection never has more unanswered requests than this. */
     private static final int MAX_UNANSWERED = 128;
 
@@ -23,8 +25,8 @@
      * @param maxValueBytes bytes of values of these requests
      */
     RequestShares(int maxRequests, long maxValueBytes) {
-        requests = new DynamicThreshold(maxRequests, FREE_DIVISOR);
-        valueBytes = new DynamicThreshold(maxValueBytes, FREE_DIVISOR);
+        requests = new DynamicThreshold(maxRequests - maxRequests / RESERVE_DIVISOR, FREE_DIVISOR);
+        valueBytes = new DynamicThreshold(maxValueBytes - maxValueBytes / RESERVE_DIVISOR, FREE_DIVISOR);
     }
 
     /** Whether a connection that holds this much already may have a further request read. */
