Fix: clients that leave are seen behind far more unread commands

Cause: a suspended connection was read ahead by one read each 0.1 s, up to 64 KiB, and only the 32 that came first. A close behind more bytes lay unseen, and each command was sent on.

Change: read ahead in one go, every 50 ms, up to 256 KiB while all suspended connections hold under 4 MiB, each half of what is left of them (DynamicThreshold). 8 KiB are always read ahead, as before.

--- a/proxy/src/main/java/cacheproxy/client/ClientConnections.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientConnections.java
@@ -4,6 +4,7 @@
 import cacheproxy.eventloop.ReusedReceiveBuffer;
 import cacheproxy.limits.ByteBudget;
 import cacheproxy.limits.DeficitRoundRobin;
+import cacheproxy.limits.DynamicThreshold;
 import cacheproxy.logging.Log;
 import cacheproxy.memcache.MetaCommandDecoder;
 import cacheproxy.memcache.RequestNames;
@@ -22,8 +23,10 @@
     private static final long MAX_UNWRITTEN_RESPONSE_BYTES = 12L << 20;
     /** The most that one read takes from a client, all of which may stay undecoded while its reading is suspended. */
     private static final int MAX_READ_BYTES = 8 << 10;
-    /** For connections whose reading is suspended and that are read ahead only to detect that the client closes. */
-    private static final long MAX_READ_AHEAD_BYTES = 2L << 20;
+    /** Undecoded bytes of all suspended connections up to which one may be read far ahead. */
+    private static final long MAX_READ_AHEAD_BYTES = 4L << 20;
+    /** A connection may be read ahead as far as 1/n of what is left of these bytes. */
+    private static final int READ_AHEAD_DIVISOR = 2;
 
     /** Work of one scheduling turn in the cost units of {@link ClientSession}: four requests, or sixteen no-ops. */
     private static final double TURN_QUANTUM = 16;
@@ -37,7 +40,7 @@
     private final ConnectionLimiter limiter;
     private final ReusedReceiveBuffer receiveBuffer = new ReusedReceiveBuffer(MAX_READ_BYTES);
     private final ByteBudget incomingValueBytes = new ByteBudget(MAX_INCOMING_VALUE_BYTES);
-    private final ByteBudget readAheadBytes = new ByteBudget(MAX_READ_AHEAD_BYTES);
+    private final DynamicThreshold readAhead = new DynamicThreshold(MAX_READ_AHEAD_BYTES, READ_AHEAD_DIVISOR);
     /** Connections with bytes that are waiting to be decoded as commands. */
     private final DeficitRoundRobin<ClientSession> turns = new DeficitRoundRobin<>(TURN_QUANTUM);
 
@@ -46,6 +49,7 @@
 
     private boolean roundScheduled;
     private long unwrittenResponseBytes;
+    private long readAheadBytes;
     /** Run once all connections are closed; null until they are to be closed. */
     private Runnable onAllClosed;
 
@@ -112,9 +116,9 @@
         return incomingValueBytes.reservedBytes();
     }
 
-    /** Bytes reserved for reading ahead on suspended connections. */
+    /** Undecoded bytes of connections whose reading is suspended. */
     public long readAheadBytes() {
-        return readAheadBytes.reservedBytes();
+        return readAheadBytes;
     }
 
     /** Bytes of responses that have not been written to the clients' sockets yet. */
@@ -138,12 +142,13 @@
         return limiter;
     }
 
-    boolean reserveReadAhead(long bytes) {
-        return readAheadBytes.reserve(bytes);
+    void addReadAheadBytes(int change) {
+        readAheadBytes += change;
     }
 
-    void releaseReadAhead(long bytes) {
-        readAheadBytes.release(bytes);
+    /** How many undecoded bytes one suspended connection may hold. */
+    long readAheadLimit() {
+        return readAhead.limit(readAheadBytes);
     }
 
     void addUnwrittenResponseBytes(int change) {
--- a/proxy/src/main/java/cacheproxy/client/ClientSession.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientSession.java
@@ -48,15 +48,12 @@
     private static final int PROTOCOL_ERROR_PAUSE_MS = 500;
 
     private static final long STUCK_US = 100_000;
-    /** Interval of the checks for a closed client: its requests must be cancelled within 0.3 s after it closes. */
-    private static final long CLOSE_CHECK_INTERVAL_US = 100_000;
-    /**
-     * Read-ahead limits for detecting a close while suspended. The larger one is for connections that have filled the
-     * smaller one, as long as the shared read-ahead budget has room.
-     */
+    /** Interval of the checks for a closed client: nothing may be sent for it 0.1 s after it closes. */
+    private static final long CLOSE_CHECK_INTERVAL_US = 50_000;
+    /** A suspended connection is read ahead this far, which shows a close behind as many unread bytes. */
     private static final int READ_AHEAD_BYTES = 8 << 10;
-
-    private static final int FAR_READ_AHEAD_BYTES = 64 << 10;
+    /** A suspended connection is read ahead this far while all of them together hold little. */
+    private static final int FAR_READ_AHEAD_BYTES = 256 << 10;
 
     private final ClientConnections connections;
     private final MetaCommandDecoder decoder;
@@ -88,7 +85,8 @@
     private boolean pausedAfterError;
     private TokenBucket protocolErrors;
     private boolean closeCheckScheduled;
-    private boolean readsFarAhead;
+    /** Undecoded bytes that were counted for this connection while its reading was suspended. */
+    private int readAheadBytes;
 
     // Writing
     private boolean flushDue;
@@ -349,9 +347,7 @@
         boolean hasCapacity = !closesAfterResponses && responses.mayAdd() && channel.isWritable();
         boolean autoRead = !pausedAfterError && !framingLost && !decodingSuspended && (ignoresInput || hasCapacity);
         channel.config().setAutoRead(autoRead);
-        if (autoRead) {
-            stopFarReadAhead();
-        }
+        countReadAhead(autoRead ? 0 : decoder.undecodedBytes());
         scheduleCloseCheck();
     }
 
@@ -363,9 +359,7 @@
         closeCheckScheduled = true;
         connections.clock().schedule(CLOSE_CHECK_INTERVAL_US, () -> {
             closeCheckScheduled = false;
-            if (channel.isActive() && !channel.config().isAutoRead() && mayReadAhead()) {
-                channel.read(); // with auto-read off this reads one buffer
-            }
+            readAhead();
             if (channel.isActive()) {
                 scheduleCloseCheck();
             }
@@ -376,18 +370,28 @@
         return responses.hasOpenRequest() || !framingLost && (pausedAfterError || decodingSuspended);
     }
 
+    /** Reads until the kernel holds nothing more, or as far as the connection may be read ahead. */
+    private void readAhead() {
+        for (int previous = -1; mayReadAhead() && decoder.undecodedBytes() > previous; ) {
+            previous = decoder.undecodedBytes();
+            readArrived();
+        }
+        if (mayReadAhead()) {
+            channel.read(); // with auto-read off this reads one buffer, once it has arrived
+        }
+    }
+
     private boolean mayReadAhead() {
         int undecoded = decoder.undecodedBytes();
-        readsFarAhead =
-                readsFarAhead || undecoded >= READ_AHEAD_BYTES && connections.reserveReadAhead(FAR_READ_AHEAD_BYTES);
-        return undecoded < (readsFarAhead ? FAR_READ_AHEAD_BYTES : READ_AHEAD_BYTES);
+        return channel.isActive()
+                && !channel.config().isAutoRead()
+                && (undecoded < READ_AHEAD_BYTES
+                        || undecoded < Math.min(FAR_READ_AHEAD_BYTES, connections.readAheadLimit()));
     }
 
-    private void stopFarReadAhead() {
-        if (readsFarAhead) {
-            readsFarAhead = false;
-            connections.releaseReadAhead(FAR_READ_AHEAD_BYTES);
-        }
+    private void countReadAhead(int bytes) {
+        connections.addReadAheadBytes(bytes - readAheadBytes);
+        readAheadBytes = bytes;
     }
 
     /** Reads what has arrived on the socket but was not read yet. */
@@ -565,7 +569,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         connections.connectionClosed(this);
-        stopFarReadAhead();
+        countReadAhead(0);
         responses.close();
     }
 
--- a/proxy/src/test/java/cacheproxy/server/LeavingCrossingTest.java
+++ b/proxy/src/test/java/cacheproxy/server/LeavingCrossingTest.java
@@ -394,4 +394,40 @@
                     }
                 });
     }
+
+    /**
+     * Guards against a close that lies unseen behind more unread commands than the proxy reads ahead: each of them was
+     * sent on as soon as an earlier one had ended.
+     */
+    @Test
+    void seesCloseOfSeveralClientsBehindManyUnreadCommands() throws Exception {
+        try (HoldingNode node = new HoldingNode("1");
+                ProxyFixture fixture = new ProxyFixture(
+                        0,
+                        settings -> settings.replace("\"quotaPerS\":50.0", "\"quotaPerS\":1e6"),
+                        1024,
+                        f -> ProxyFixture.endpointList(1, true, ProxyFixture.listEntry(0, "SERVING", node.listener)))) {
+            for (int i = 0; i < 8; i++) {
+                StringBuilder commands = new StringBuilder();
+                for (int j = 0; j < 1_500; j++) {
+                    commands.append(ProxyFixture.readCommand("h" + i + "x" + j, 4900));
+                }
+                fixture.client().send(commands.toString());
+            }
+            while (node.held() < 300) {
+                Thread.onSpinWait();
+            }
+            for (Peer client : fixture.clients) {
+                client.close();
+            }
+            while (fixture.loop.submit(() -> fixture.proxy.clients.count()).get() > 0) {
+                Thread.onSpinWait();
+            }
+            long open = fixture.loop
+                    .submit(() -> fixture.proxy.reserved().get("requests"))
+                    .get();
+            assertEquals(0, open, "requests of clients that have left");
+            assertTrue(node.held() <= 472, node.held() + " requests were sent, more than could be before the close");
+        }
+    }
 }
