Fix: a client that stops inside a command is awaited again once its reading resumes

What was seen: GracefulShutdownRaceTest.closesSlowReaderWithIncompleteCommand failed once in the whole check, beside load: no "CLIENT_ERROR the command does not end" within 10 s.

Change: updateReading begins the wait when reading resumes inside a command; only connections that have or may have a request are read ahead.

--- a/proxy/src/main/java/cacheproxy/client/ClientSession.java
+++ b/proxy/src/main/java/cacheproxy/client/ClientSession.java
@@ -346,7 +346,11 @@
     private void updateReading() {
         boolean hasCapacity = !closesAfterResponses && responses.mayAdd() && channel.isWritable();
         boolean autoRead = !pausedAfterError && !framingLost && !decodingSuspended && (ignoresInput || hasCapacity);
+        boolean resumed = autoRead && !channel.config().isAutoRead();
         channel.config().setAutoRead(autoRead);
+        if (resumed && !inRead && !ignoresInput && decoder.isInsideMessage()) {
+            connections.limiter().readCompleted(this, true, false); // from now on the client itself is awaited
+        }
         countReadAhead(autoRead ? 0 : decoder.undecodedBytes());
         scheduleCloseCheck();
     }
@@ -359,7 +363,9 @@
         closeCheckScheduled = true;
         connections.clock().schedule(CLOSE_CHECK_INTERVAL_US, () -> {
             closeCheckScheduled = false;
-            readAhead();
+            if (hasOrMayHaveRequest()) {
+                readAhead();
+            }
             if (channel.isActive()) {
                 scheduleCloseCheck();
             }
--- a/proxy/src/test/java/cacheproxy/server/MisbehavingClientsTest.java
+++ b/proxy/src/test/java/cacheproxy/server/MisbehavingClientsTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -184,4 +185,37 @@
             assertTrue(sentChunks < 900, "60 MB were read");
         }
     }
+
+    /**
+     * Guards against a client that stops inside a command and stays: while it takes nothing of an earlier response, its
+     * reading is suspended, and afterwards nobody awaited the rest of the command.
+     */
+    @Test
+    void endsIncompleteCommandOfClientThatTookItsResponsesLate() throws Exception {
+        String value = "v".repeat(1_000_000);
+        try (ProxyFixture fixture = new ProxyFixture(1)) {
+            CommandArrivals arrivals = new CommandArrivals(fixture);
+            Peer client = fixture.client();
+            int responses = 8;
+            StringBuilder commands = new StringBuilder();
+            for (int i = 0; i <= responses; i++) {
+                commands.append(ProxyFixture.readCommand("a" + i, 4000));
+            }
+            client.send(commands + "mg 7f3a");
+            for (int i = 0; i < responses; i++) {
+                Peer node = arrivals.next();
+                node.send("VA " + value.length() + " " + CommandArrivals.readCommandId(node) + "\r\n" + value + "\r\n");
+            }
+            Peer lastNode = arrivals.next();
+            fixture.loop.schedule(() -> {}, 150, TimeUnit.MILLISECONDS).sync(); // its close is looked for meanwhile
+            String lastId = CommandArrivals.readCommandId(lastNode);
+            lastNode.send("VA 1 " + lastId + "\r\n1\r\n");
+            for (int i = 0; i <= responses; i++) {
+                assertTrue(client.line().startsWith("VA "));
+                client.line();
+            }
+            client.expect("CLIENT_ERROR the command does not end");
+            client.expectEnd();
+        }
+    }
 }
