--- a/proxy/src/main/java/cacheproxy/server/ProxyServer.java
+++ b/proxy/src/main/java/cacheproxy/server/ProxyServer.java
@@ -104,7 +104,7 @@
                 exchanges,
                 maxClients,
                 maxEstablishedClients,
-                Math.min(exchanges.maxOpen(), pools.maxAttempts()),
+                Math.min(RequestExchanges.MAX_OPEN_REQUESTS, pools.maxAttempts()),
                 RequestExchanges.MAX_VALUE_BYTES);
         discovery = new DiscoveryClient(this, clock, configuration, loop, host, log);
         endpoints = new EndpointList(router, pools, discovery, log);
--- a/proxy/src/main/java/cacheproxy/server/RequestExchanges.java
+++ b/proxy/src/main/java/cacheproxy/server/RequestExchanges.java
@@ -33,7 +33,9 @@
     /** Bytes of the values of all open requests. */
     static final long MAX_VALUE_BYTES = 6L << 20;
 
-    private static final int MAX_OPEN_REQUESTS = 4096;
+    /** Open requests, if the settings allow as many. */
+    static final int MAX_OPEN_REQUESTS = 4096;
+
     private static final long OVERLOADED_RETRY_AFTER_US = 500_000;
     /** Reserved for the response to reach the client, whose deadline counts from when it sent the request. */
     private static final long CLIENT_TRANSIT_US = 5_000;
@@ -75,11 +77,6 @@
         router.onReleased(this::settleReleased);
     }
 
-    /** The number of requests that may be open at a time. */
-    int maxOpen() {
-        return Math.min(MAX_OPEN_REQUESTS, settings.maxOpenRequests);
-    }
-
     /** The number of open requests. */
     int size() {
         return byId.size();
@@ -134,7 +131,7 @@
         if (finishing) {
             return "shutting down";
         }
-        if (byId.size() >= maxOpen()) {
+        if (byId.size() >= Math.min(MAX_OPEN_REQUESTS, settings.maxOpenRequests)) {
             return "open requests";
         }
         return valueBytes + command.valueBytes() > MAX_VALUE_BYTES ? "bytes of values" : null;
