--- /dev/null
+++ b/review/src-2/rev2/Node.java
@@ -0,0 +1,147 @@
+package rev2;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A stand-in for a cache node: reads commands in order and answers each as its behaviour says. */
+final class Node {
+    /** One whole command, begun when its last byte has come. */
+    record Command(Node node, String line, String verb, String key, String id, String fields, byte[] value, double atMs) {
+        /** A field of the P list; null if it is not there. */
+        String field(String name) {
+            for (String pair : fields.split(",")) {
+                if (pair.startsWith(name + "=")) {
+                    return pair.substring(name.length() + 1);
+                }
+            }
+            return null;
+        }
+    }
+
+    /** Returns the bytes of the answer, null to close the connection without one. May sleep. */
+    interface Behaviour {
+        byte[] answer(Command command) throws InterruptedException;
+    }
+
+    final String name;
+    final ServerSocket server;
+    private final Rec rec;
+    private final Behaviour behaviour;
+    private final AtomicInteger receipts = new AtomicInteger();
+    /** Whether each command is written to the record. */
+    volatile boolean records = true;
+
+    Node(String name, Rec rec, Behaviour behaviour) throws IOException {
+        this.name = name;
+        this.rec = rec;
+        this.behaviour = behaviour;
+        server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+        daemon(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                daemon(() -> serve(socket));
+            }
+        });
+    }
+
+    interface Task {
+        void run() throws Exception;
+    }
+
+    static Thread daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (Exception e) {
+                // the other side or the case has ended
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    private void serve(Socket socket) throws Exception {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream(), 1 << 16);
+            OutputStream out = socket.getOutputStream();
+            for (String line = readLine(in); line != null; line = readLine(in)) {
+                Command command = command(line, in);
+                if (command.verb.equals("mn")) {
+                    out.write("MN\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                    continue;
+                }
+                if (records) {
+                    rec.line(name, "runs " + line);
+                }
+                byte[] answer = behaviour.answer(command);
+                if (answer == null) {
+                    return;
+                }
+                out.write(answer);
+                out.flush();
+            }
+        }
+    }
+
+    private Command command(String line, InputStream in) throws IOException {
+        String[] tokens = line.split(" ");
+        String id = "";
+        String fields = "";
+        byte[] value = null;
+        for (String token : tokens) {
+            id = token.startsWith("O") ? token : id;
+            fields = token.startsWith("P") ? token.substring(1) : fields;
+        }
+        if (tokens[0].equals("ms")) {
+            value = in.readNBytes(Integer.parseInt(tokens[2]));
+            in.skipNBytes(2);
+        }
+        return new Command(
+                this, line, tokens[0], tokens.length > 1 ? tokens[1] : "", id, fields, value, rec.nowMs());
+    }
+
+    /** The answer of a served command: the value for a read, a receipt for a write. */
+    byte[] served(Command command, byte[] value) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(value.length + 64);
+        if (command.verb.equals("mg")) {
+            out.writeBytes(("VA " + value.length + " " + command.id + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            out.writeBytes(value);
+            out.writeBytes(new byte[] {'\r', '\n'});
+        } else {
+            out.writeBytes(("HD " + command.id + " c" + name.replaceAll("[^0-9a-z]", "") + "x"
+                            + receipts.incrementAndGet() + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+        }
+        return out.toByteArray();
+    }
+
+    static byte[] line(String text) {
+        return (text + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+        for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0) {
+                return null;
+            }
+            line.write(b);
+        }
+        String text = line.toString(StandardCharsets.ISO_8859_1);
+        return text.endsWith("\r") ? text.substring(0, text.length() - 1) : text;
+    }
+}
