--- a/review/src-2/rev2/Discovery.java
+++ b/review/src-2/rev2/Discovery.java
@@ -12,6 +12,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
  * A stand-in for discovery, or for the agent that pushes its lists. While it is down as an agent it is silent: calls
@@ -25,8 +27,10 @@
     private final Map<String, Long> changedIn = new LinkedHashMap<>();
     private long version = 40;
     private boolean silent;
-    /** How long a call waits for its first byte. */
-    volatile long answerAfterMs;
+    /** List lines (entries) that are sent in a second; 0: at once. */
+    volatile int linesPerS;
+
+    private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
 
     Discovery(String name, Rec rec) throws IOException {
         this.name = name;
@@ -36,6 +40,7 @@
             while (true) {
                 Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
+                sockets.add(socket);
                 Node.daemon(() -> serve(socket));
             }
         });
@@ -45,10 +50,10 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    static Map<String, Object> entry(Node node, String state, long startedMs) {
+    private static Map<String, Object> entry(String id, String address, String state, long startedMs) {
         Map<String, Object> entry = new LinkedHashMap<>();
-        entry.put("id", node.name);
-        entry.put("addr", node.address());
+        entry.put("id", id);
+        entry.put("addr", address);
         entry.put("zone", "kannur-town");
         entry.put("kind", "full-node");
         entry.put("cell", 1);
@@ -58,17 +63,36 @@
         return entry;
     }
 
-    synchronized void set(Node node, String state, long startedMs) {
+    void set(Node node, String state, long startedMs) {
+        set(Map.of(node.name, node.address()), state, startedMs);
+    }
+
+    /** One change of the list, which names these nodes: their addresses by id. */
+    synchronized void set(Map<String, String> addresses, String state, long startedMs) {
         version++;
-        entries.put(node.name, entry(node, state, startedMs));
-        changedIn.put(node.name, version);
-        rec.line(name, "has version " + version + ": " + node.name + " " + state);
+        addresses.forEach((id, address) -> {
+            entries.put(id, entry(id, address, state, startedMs));
+            changedIn.put(id, version);
+        });
+        rec.line(
+                name,
+                "has version " + version + ": "
+                        + (addresses.size() == 1 ? addresses.keySet().iterator().next() : addresses.size() + " nodes") + " "
+                        + state);
         notifyAll();
     }
 
-    synchronized void setAt(Node node, String address, String state) {
-        set(node, state, 0);
-        entries.get(node.name).put("addr", address);
+    /** As at a new configuration: takes no new connection, and closes the open ones after 1.5 s. */
+    void retire() throws IOException {
+        rec.line(name, "takes no new connection");
+        server.close();
+        Node.daemon(() -> {
+            Thread.sleep(1500);
+            rec.line(name, "closes its connections");
+            for (Socket socket : List.copyOf(sockets)) {
+                socket.close();
+            }
+        });
     }
 
     synchronized void silent(boolean now) {
@@ -77,6 +101,7 @@
         notifyAll();
     }
 
+    /** The whole list. */
     synchronized Map<String, Object> list() {
         return list(0, true);
     }
@@ -106,9 +131,6 @@
                 return;
             }
             rec.line(name, "is asked: " + request);
-            if (answerAfterMs > 0) {
-                Thread.sleep(answerAfterMs);
-            }
             OutputStream out = socket.getOutputStream();
             int index = request.indexOf("index=");
             if (index < 0) {
@@ -154,12 +176,33 @@
                         .getBytes(StandardCharsets.US_ASCII));
                 first = false;
             }
-            byte[] body = text.getBytes(StandardCharsets.UTF_8);
-            out.write((Integer.toHexString(body.length) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
+            write(out, text);
+        }
+    }
+
+    /** Writes one list, or an empty line, at the pace at which lines are sent. */
+    private void write(OutputStream out, String text) throws Exception {
+        double beganMs = rec.nowMs();
+        int sent = 0;
+        int at = 0;
+        while (at < text.length()) {
+            int end = text.indexOf("},{", at);
+            end = end < 0 || linesPerS == 0 ? text.length() : end + 2;
+            String part = text.substring(at, end);
+            out.write((Integer.toHexString(part.length()) + "\r\n" + part + "\r\n").getBytes(StandardCharsets.US_ASCII));
             out.flush();
-            if (body.length > 1) {
-                rec.line(name, "writes " + text.strip());
+            at = end;
+            if (linesPerS > 0 && at < text.length()) {
+                sent++;
+                Thread.sleep((long) Math.max(0, beganMs + sent * 1000.0 / linesPerS - rec.nowMs()));
             }
         }
+        if (text.length() > 1) {
+            rec.line(
+                    name,
+                    "has written "
+                            + (text.length() < 1000 ? text.strip() : "a list of " + (sent + 1) + " entries") + " in "
+                            + Math.round(rec.nowMs() - beganMs) + " ms");
+        }
     }
 }
--- a/review/src-2/rev2/Node.java
+++ b/review/src-2/rev2/Node.java
@@ -5,9 +5,12 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -32,25 +35,44 @@
     }
 
     final String name;
-    final ServerSocket server;
+    private static Selector selector;
+    final ServerSocketChannel server;
     private final Rec rec;
     private final Behaviour behaviour;
     private final AtomicInteger receipts = new AtomicInteger();
-    /** Whether each command is written to the record. */
-    volatile boolean records = true;
 
     Node(String name, Rec rec, Behaviour behaviour) throws IOException {
         this.name = name;
         this.rec = rec;
         this.behaviour = behaviour;
-        server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-        daemon(() -> {
-            while (true) {
-                Socket socket = server.accept();
-                socket.setTcpNoDelay(true);
-                daemon(() -> serve(socket));
+        server = ServerSocketChannel.open();
+        server.bind(new InetSocketAddress("127.0.0.1", 0), 128);
+        server.configureBlocking(false);
+        synchronized (Node.class) {
+            if (selector == null) {
+                selector = Selector.open();
+                daemon(Node::acceptAll);
             }
-        });
+        }
+        server.register(selector, SelectionKey.OP_ACCEPT, this);
+        selector.wakeup();
+    }
+
+    /** One thread accepts for all nodes, since a case may have a thousand of them. */
+    private static void acceptAll() throws IOException {
+        while (true) {
+            selector.select(100);
+            for (SelectionKey key : selector.selectedKeys()) {
+                SocketChannel channel = ((ServerSocketChannel) key.channel()).accept();
+                if (channel != null) {
+                    channel.configureBlocking(true);
+                    Socket socket = channel.socket();
+                    socket.setTcpNoDelay(true);
+                    daemon(() -> ((Node) key.attachment()).serve(socket));
+                }
+            }
+            selector.selectedKeys().clear();
+        }
     }
 
     interface Task {
@@ -71,7 +93,7 @@
     }
 
     String address() {
-        return "127.0.0.1:" + server.getLocalPort();
+        return "127.0.0.1:" + server.socket().getLocalPort();
     }
 
     private void serve(Socket socket) throws Exception {
@@ -84,9 +106,7 @@
                     out.write("MN\r\n".getBytes(StandardCharsets.ISO_8859_1));
                     continue;
                 }
-                if (records) {
-                    rec.line(name, "runs " + line);
-                }
+                rec.line(name, "runs " + line);
                 byte[] answer = behaviour.answer(command);
                 if (answer == null) {
                     return;
--- a/review/src-2/rev2/Proxy.java
+++ b/review/src-2/rev2/Proxy.java
@@ -27,7 +27,6 @@
     private final Rec rec;
     private final Map<String, Object> settings;
     private Process process;
-    private int sockets = 1024;
 
     Proxy(String name, Path folder, Rec rec, Map<String, Object> settings) throws IOException {
         this.name = name;
@@ -110,10 +109,6 @@
         }
     }
 
-    void sockets(int most) {
-        sockets = most;
-    }
-
     private Path file() {
         return folder.resolve(name + ".json");
     }
@@ -123,7 +118,7 @@
         Map<String, Object> config = map(
                 "name", name, "listen", "127.0.0.1:" + port, "discovery", discovery, "seed",
                 Long.toHexString(System.nanoTime()), "limits",
-                map("cores", 1.0, "memory_mb", 192, "sockets", sockets), "known", known, "settings", settings);
+                map("cores", 1.0, "memory_mb", 192, "sockets", 1024), "known", known, "settings", settings);
         Path next = folder.resolve(name + ".next");
         Files.writeString(next, Json.of(config));
         Files.move(
@@ -201,10 +196,9 @@
     }
 
     @Override
-    public void close() throws InterruptedException {
+    public void close() {
         if (process != null) {
             process.destroyForcibly();
-            process.waitFor();
         }
     }
 }
