Review case 9: a refused retry of a keyed write sends its client past the window

A retry that no node takes is refused although an earlier try of the same key may have run. Change: review/9; stand-in nodes reset the connection where they close it without an answer.

--- a/review/src-2/rev2/Node.java
+++ b/review/src-2/rev2/Node.java
@@ -29,7 +29,7 @@
         }
     }
 
-    /** Returns the bytes of the answer, null to close the connection without one. May sleep. */
+    /** Returns the bytes of the answer, null to reset the connection. May sleep. */
     interface Behaviour {
         byte[] answer(Command command) throws InterruptedException;
     }
@@ -109,6 +109,7 @@
                 rec.line(name, "runs " + line);
                 byte[] answer = behaviour.answer(command);
                 if (answer == null) {
+                    socket.setSoLinger(true, 0); // a reset
                     return;
                 }
                 out.write(answer);
