Review case 10: an indented list of 3,200 nodes is over 1 MiB and never taken

Change: review/10; stand-in lists with indentation and rough weights, nodes at addresses of their own.

--- a/review/src-2/rev2/Discovery.java
+++ b/review/src-2/rev2/Discovery.java
@@ -30,6 +30,11 @@
     /** List lines (entries) that are sent in a second; 0: at once. */
     volatile int linesPerS;
 
+    /** Whether lists are written with four spaces for each level. */
+    volatile boolean indented;
+    /** Where set, the weights of the entries: sizes, approximately. */
+    volatile boolean rough;
+
     private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
 
     Discovery(String name, Rec rec) throws IOException {
@@ -71,7 +76,11 @@
     synchronized void set(Map<String, String> addresses, String state, long startedMs) {
         version++;
         addresses.forEach((id, address) -> {
-            entries.put(id, entry(id, address, state, startedMs));
+            Map<String, Object> entry = entry(id, address, state, startedMs);
+            if (rough) {
+                entry.put("weight", 1.5 + new java.util.Random(id.hashCode()).nextDouble() / 2);
+            }
+            entries.put(id, entry);
             changedIn.put(id, version);
         });
         rec.line(
@@ -167,7 +176,7 @@
                 }
                 if (first || version != told) {
                     boolean full = first && (after == 0 || after > version);
-                    text = Json.of(list(told, full)) + "\n";
+                    text = (indented ? Json.indented(list(told, full)) : Json.of(list(told, full))) + "\n";
                     told = version;
                 }
             }
@@ -201,7 +210,7 @@
             rec.line(
                     name,
                     "has written "
-                            + (text.length() < 1000 ? text.strip() : "a list of " + (sent + 1) + " entries") + " in "
+                            + (text.length() < 1000 ? text.replace("\n", " ").strip() : "a list of " + text.length() + " bytes") + " in "
                             + Math.round(rec.nowMs() - beganMs) + " ms");
         }
     }
--- a/review/src-2/rev2/Node.java
+++ b/review/src-2/rev2/Node.java
@@ -35,6 +35,7 @@
     }
 
     final String name;
+    private final String host;
     private static Selector selector;
     final ServerSocketChannel server;
     private final Rec rec;
@@ -42,11 +43,17 @@
     private final AtomicInteger receipts = new AtomicInteger();
 
     Node(String name, Rec rec, Behaviour behaviour) throws IOException {
+        this(name, "127.0.0.1", rec, behaviour);
+    }
+
+    /** A node at a loopback address of its own. */
+    Node(String name, String host, Rec rec, Behaviour behaviour) throws IOException {
         this.name = name;
+        this.host = host;
         this.rec = rec;
         this.behaviour = behaviour;
         server = ServerSocketChannel.open();
-        server.bind(new InetSocketAddress("127.0.0.1", 0), 128);
+        server.bind(new InetSocketAddress(host, 0), 128);
         server.configureBlocking(false);
         synchronized (Node.class) {
             if (selector == null) {
@@ -93,7 +100,7 @@
     }
 
     String address() {
-        return "127.0.0.1:" + server.socket().getLocalPort();
+        return host + ":" + server.socket().getLocalPort();
     }
 
     private void serve(Socket socket) throws Exception {
