--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,13 +3,13 @@
 # Needs the build of the deploy file and review/build-2.sh.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -e proxy/target/cacheproxy.jar ] || [ ! -e review/out-2/rev2/LongList.class ]; then
+if [ ! -e proxy/target/cacheproxy.jar ] || [ ! -e review/out-2/rev2/Again.class ]; then
     echo "not built: run the build of the deploy file and review/build-2.sh"
     exit 2
 fi
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-timeout -k 5 90 java -Xmx256m -cp review/out-2 rev2.LongList "$work" review/7/record.txt
+timeout -k 5 60 java -Xmx256m -cp review/out-2 rev2.Again "$work" review/7/record.txt
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/src-2/rev2/Client.java
+++ b/review/src-2/rev2/Client.java
@@ -16,7 +16,11 @@
     final OutputStream out;
 
     Client(Proxy proxy) throws IOException {
-        socket = new Socket("127.0.0.1", proxy.port);
+        this(new Socket("127.0.0.1", proxy.port));
+    }
+
+    Client(Socket connected) throws IOException {
+        socket = connected;
         socket.setTcpNoDelay(true);
         in = new BufferedInputStream(socket.getInputStream(), 1 << 16);
         out = socket.getOutputStream();
