--- a/review/src-2/rev2/Client.java
+++ b/review/src-2/rev2/Client.java
@@ -45,6 +45,11 @@
         return all;
     }
 
+    /** The line of a command, for the record. */
+    static String firstLine(byte[] command) {
+        return new String(command, StandardCharsets.ISO_8859_1).split("\r\n")[0];
+    }
+
     /** The first line of the next answer, its value read as well; null at the end of the connection. */
     String answer() throws IOException {
         String line = Node.readLine(in);
--- a/review/src-2/rev2/Gone.java
+++ b/review/src-2/rev2/Gone.java
@@ -53,15 +53,16 @@
                     int wait = read ? READ_WAIT_MS : WRITE_WAIT_MS;
                     waitMs.put(id, wait);
                     String fields = "c=" + (read ? "phrase-lookup" : "usage-charge") + ",d=" + wait;
-                    commands.writeBytes(
-                            read
-                                    ? Client.read(id.substring(1), id, fields)
-                                    : Client.write(id.substring(1), id, fields, new byte[VALUE_BYTES]));
+                    byte[] command = read
+                            ? Client.read(id.substring(1), id, fields)
+                            : Client.write(id.substring(1), id, fields, new byte[VALUE_BYTES]);
+                    rec.line("client", "will send " + Client.firstLine(command));
+                    commands.writeBytes(command);
                 }
                 Client client = new Client(proxy);
                 int port = client.socket.getLocalPort();
                 client.socket.setSoTimeout(6_000);
-                rec.line("client", "sends " + (READS + WRITES) + " commands, " + commands.size() + " bytes");
+                rec.line("client", "sends these " + (READS + WRITES) + " commands, " + commands.size() + " bytes");
                 double sentMs = rec.nowMs();
                 client.out.write(commands.toByteArray());
                 if (!trouble) {
--- a/review/src-2/rev2/Wave.java
+++ b/review/src-2/rev2/Wave.java
@@ -116,6 +116,9 @@
                 List<Sent> sent = new ArrayList<>();
                 byte[] burst = burst(sent, position[0]);
                 position[0] += burst.length;
+                StringBuilder ids = new StringBuilder();
+                sent.forEach(request -> ids.append(' ').append(request.id));
+                rec.line(name, "sends" + ids);
                 Thread writer = Node.daemon(() -> {
                     for (int at = 0; at < burst.length; at += 4096) {
                         int count = Math.min(4096, burst.length - at);
--- a/review/src-2/rev2/WideList.java
+++ b/review/src-2/rev2/WideList.java
@@ -96,7 +96,9 @@
             client.socket.setSoTimeout(3_000);
             while (rec.nowMs() < untilMs) {
                 String id = Client.newId();
-                client.out.write(Client.read(Long.toHexString(random.nextLong()), id, "c=phrase-lookup,d=1500"));
+                byte[] read = Client.read(Long.toHexString(random.nextLong()), id, "c=phrase-lookup,d=1500");
+                rec.line("client", "sends " + Client.firstLine(read));
+                client.out.write(read);
                 rec.line("client", id + " is answered " + client.answer());
                 Thread.sleep(40);
             }
