--- a/review/src-2/rev2/Gone.java
+++ b/review/src-2/rev2/Gone.java
@@ -21,19 +21,21 @@
     private static final int VALUE_BYTES = 2_000;
     private static final int READ_WAIT_MS = 1_500;
     private static final int WRITE_WAIT_MS = 2_500;
-    private static final int WORK_MS = 250;
+    private static final int FIRST_WORK_MS = 200;
+    private static final int WORK_MS = 300;
     private static final double LATEST_MS = 100;
     private static final double SLACK_MS = 50;
 
     public static void main(String[] args) {
         Case.run(args, (folder, rec, trouble) -> {
             Discovery discovery = new Discovery("discovery", rec);
+            String[] firstId = new String[1];
             List<Node.Command> begun = Collections.synchronizedList(new ArrayList<>());
             for (int i = 0; i < 6; i++) {
                 discovery.set(
                         new Node("s-" + i, rec, command -> {
                             begun.add(command);
-                            Thread.sleep(WORK_MS);
+                            Thread.sleep(command.id().equals(firstId[0]) ? FIRST_WORK_MS : WORK_MS);
                             return command.node().served(command, new byte[100]);
                         }),
                         "SERVING",
@@ -52,6 +54,7 @@
                     boolean read = i < READS;
                     int wait = read ? READ_WAIT_MS : WRITE_WAIT_MS;
                     waitMs.put(id, wait);
+                    firstId[0] = i == 0 ? id : firstId[0];
                     String fields = "c=" + (read ? "phrase-lookup" : "usage-charge") + ",d=" + wait;
                     byte[] command = read
                             ? Client.read(id.substring(1), id, fields)
