Fix: nothing is sent by an endpoint list that may be older than the agent's

Cause: where lists are pushed, no part of the proxy knew whether its list may be older than the agent's. A longer wait at the start is no fix: requests before MN were served by the old list as well.

Change: discovery.ListFreshness holds that state; readiness asks it, the router is told and has no endpoint eligible, the pools take back attempts that have not begun (also those handed over and withheld, read in the code, not run). A list that was up to date when its watch fell silent stays in use: the agent "is silent and learns nothing". MN comes after 8 s at the latest, for "nine in ten restarted proxies are ready within 10 s". In doubt the whole list is requested. A SIGHUP back to the agent whose list is held ends the move. Why it works: every way to a node goes through the router's choice or a pool's queue, and both know now.

WatchLifecycleTest.holdsMnUntilFirstDataOfAgent took an empty line for a list; an agent in an outage may send nothing else. It wants the list in both of its cases now, and no MN before it.

--- a/proxy/src/main/java/cacheproxy/discovery/DiscoveryCall.java
+++ b/proxy/src/main/java/cacheproxy/discovery/DiscoveryCall.java
@@ -55,6 +55,18 @@
          */
         void watchUpToDate();
 
+        /**
+         * The call, a watch, has sent a part of a list or one that was skipped: the service has changes that were not
+         * received.
+         */
+        void watchBehind();
+
+        /**
+         * The call, a watch, has responded but brings no list, although one is {@link FirstList#REQUIRED_SOON}; its
+         * connection is already closed.
+         */
+        void listMissing(DiscoveryCall call);
+
         /** The call has ended other than by {@link DiscoveryCall#close}; its connection is already closed. */
         void callFailed(DiscoveryCall call);
 
@@ -69,7 +81,8 @@
     private final int number;
     private final InetSocketAddress service;
     private final boolean watching;
-    private final boolean agentPushesLists;
+    private final FirstList firstList;
+    private final int firstListTimeoutMs;
     private final long startTimeNs;
     private final EndpointListDecoder listDecoder = new EndpointListDecoder(this);
     private long lastReadTimeNs;
@@ -96,7 +109,8 @@
     /**
      * @param number identifies the call in the log
      * @param watching whether the call is a watch, whose response is not expected to end
-     * @param agentPushesLists see {@link DiscoveryClient}; if true, a watch that has sent no list is up to date as well
+     * @param firstList what the response of a watch must begin with
+     * @param firstListTimeoutMs how soon a list must begin that is {@link FirstList#REQUIRED_SOON}
      */
     DiscoveryCall(
             Owner owner,
@@ -107,7 +121,8 @@
             int number,
             InetSocketAddress service,
             boolean watching,
-            boolean agentPushesLists) {
+            FirstList firstList,
+            int firstListTimeoutMs) {
         this.owner = owner;
         this.eventLoop = eventLoop;
         this.clock = clock;
@@ -116,7 +131,8 @@
         this.number = number;
         this.service = service;
         this.watching = watching;
-        this.agentPushesLists = agentPushesLists;
+        this.firstList = firstList;
+        this.firstListTimeoutMs = firstListTimeoutMs;
         startTimeNs = nowNs();
         lastReadTimeNs = startTimeNs;
     }
@@ -185,6 +201,14 @@
         return skipReason == null && (responded || timedOut);
     }
 
+    /**
+     * Whether the call has shown nothing that is not in the list held: it never responded, or was up to date when it
+     * fell silent.
+     */
+    boolean endedWithoutNews() {
+        return !responded || timedOut && !listGivenUp && isUpToDate();
+    }
+
     /** Whether a list was given up because of its time or its size. */
     boolean listWasGivenUp() {
         return listGivenUp;
@@ -245,11 +269,14 @@
         if (!responded && owner.isWatch(this)) {
             expectHeartbeats();
         }
+        if (!responded && firstList == FirstList.REQUIRED_SOON) {
+            clock.schedule(firstListTimeoutMs * 1000L, () -> clock.scheduleAfterRead(this::endIfListIsMissing));
+        }
         responded = true;
         if (message instanceof HttpContent content) {
             decode(ByteBufUtil.getBytes(content.content()));
-            if (!closed && owner.isWatch(this) && isUpToDate()) {
-                owner.watchUpToDate();
+            if (!closed && owner.isWatch(this)) {
+                reportProgress();
             }
             if (content instanceof LastHttpContent && !closed) {
                 responseEnded();
@@ -257,6 +284,23 @@
         }
     }
 
+    private void reportProgress() {
+        if (isUpToDate()) {
+            owner.watchUpToDate();
+        } else if (listDecoder.isInsideList() || skipReason != null) {
+            owner.watchBehind();
+        }
+    }
+
+    /** Without this, an agent that sends nothing but empty lines would be waited for without end. */
+    private void endIfListIsMissing() {
+        if (closed || listAccepted || skipReason != null || listDecoder.isInsideList()) {
+            return;
+        }
+        close("no list has come");
+        owner.listMissing(this);
+    }
+
     private void decode(byte[] bytes) {
         boolean withinSizeLimit = listDecoder.decode(bytes);
         if (listTimeout != null && listDecoder.endedLists() != endedListsAtTimerStart) {
@@ -298,8 +342,9 @@
         fail("endpoint list was not completed in time");
     }
 
-    private boolean isUpToDate() {
-        return !listDecoder.isInsideList() && skipReason == null && (agentPushesLists || listAccepted);
+    /** Whether everything that the service has sent is in the list held, and it has sent what was required. */
+    boolean isUpToDate() {
+        return !listDecoder.isInsideList() && skipReason == null && (listAccepted || firstList == FirstList.IF_CHANGED);
     }
 
     private void responseEnded() {
--- a/proxy/src/main/java/cacheproxy/discovery/DiscoveryClient.java
+++ b/proxy/src/main/java/cacheproxy/discovery/DiscoveryClient.java
@@ -49,6 +49,10 @@
     private final ListVersion version;
     private InetSocketAddress service;
     private final ServiceMigration migration;
+    /** The service that the list held is from; another one than {@link #service} during a migration. */
+    private InetSocketAddress listService;
+    /** Whether the watch of {@link #listService} has ended during the migration, for another reason than silence. */
+    private boolean oldWatchEnded;
 
     private DiscoveryCall watch;
     /** The timer that restarts a lost watch; null if there is none. */
@@ -62,21 +66,30 @@
     private long firstCallNs;
     /** Whether a watch has been up to date at any time since the start. */
     private boolean hasBeenUpToDate;
+
+    private final ListFreshness freshness;
+    private final FreshnessMonitor freshnessMonitor;
     /** When a watch was last up to date; meaningless before {@link #hasBeenUpToDate}. */
     private long lastUpToDateNs;
 
     private int callsStarted;
     private final CallEvents callEvents = new CallEvents();
 
-    /** {@code config} has the service's address and the last known list; no call is made before {@link #start}. */
+    /**
+     * {@code config} has the service's address and the last known list; no call is made before {@link #start}.
+     * {@code freshness} is kept up to date by this client and may be read by others.
+     */
     public DiscoveryClient(
             EndpointListListener listener,
+            ListFreshness freshness,
             EventLoopClock clock,
             ProxyConfiguration config,
             EventLoop eventLoop,
             HostEnvironment host,
             Log log) {
         this.listener = listener;
+        this.freshness = freshness;
+        freshnessMonitor = new FreshnessMonitor(freshness, clock, listener);
         this.clock = clock;
         this.eventLoop = eventLoop;
         this.host = host;
@@ -84,14 +97,16 @@
         random = new SplittableRandom(config.seed);
         lastPromptRetryNs = nowNs() - MIN_PROMPT_RETRY_INTERVAL_NS;
         service = config.discovery;
+        listService = service;
         agentPushesLists = !config.settings.subscribeRequired;
         int pushTimeoutMs = WatchTimeouts.pushTimeoutMs(config.settings.drainGraceUs / 1000);
         timeouts = new CallTimeouts(agentPushesLists, pushTimeoutMs);
         watchBackoff = agentPushesLists
                 ? new BackoffPolicy(WatchTimeouts.MIN_PROMPT_RETRY_DELAY_MS, pushTimeoutMs, random)
                 : new BackoffPolicy(WatchTimeouts.INITIAL_BACKOFF_MS, WatchTimeouts.MAX_BACKOFF_MS, random);
-        listBackoff =
-                new BackoffPolicy(WatchTimeouts.INITIAL_LIST_BACKOFF_MS, WatchTimeouts.MAX_LIST_BACKOFF_MS, random);
+        int maxListBackoffMs =
+                agentPushesLists ? WatchTimeouts.MAX_PUSHED_LIST_BACKOFF_MS : WatchTimeouts.MAX_LIST_BACKOFF_MS;
+        listBackoff = new BackoffPolicy(WatchTimeouts.INITIAL_LIST_BACKOFF_MS, maxListBackoffMs, random);
         migration = new ServiceMigration(
                 eventLoop,
                 agentPushesLists,
@@ -100,7 +115,7 @@
                         agentPushesLists ? pushTimeoutMs : WatchTimeouts.MAX_BACKOFF_MS,
                         random),
                 listBackoff,
-                () -> startCall(WATCH_PATH + 0, true));
+                () -> startWatchSince(0));
         knownList = config.lastKnownList;
         parser = new EndpointListParser(config, clock::fromUnixMs);
         version = new ListVersion(EndpointListParser.version(knownList));
@@ -137,6 +152,8 @@
      */
     public void start() {
         firstCallNs = nowNs();
+        freshness.processStarted(clock.nowUs());
+        freshnessMonitor.update();
         if (agentPushesLists) {
             startWatch();
         } else {
@@ -149,18 +166,33 @@
         if (migration.isActive() || watch != null || watchRetry != null) {
             return;
         }
-        watch = startCall(WATCH_PATH + version.held(), true);
+        // an agent that answers a request for changes with none may still be about to get them
+        boolean requestAll = freshness.isInDoubt() && callsStarted > 0;
+        watch = startWatchSince(requestAll ? 0 : version.held());
+    }
+
+    /** Starts a watch for the changes since a version; 0 requests all endpoints. */
+    private DiscoveryCall startWatchSince(long sinceVersion) {
+        FirstList firstList = FirstList.REQUIRED;
+        if (agentPushesLists) {
+            boolean listNeeded = sinceVersion == 0 || freshness.isInDoubt();
+            firstList = listNeeded ? FirstList.REQUIRED_SOON : FirstList.IF_CHANGED;
+        }
+        int firstListTimeoutMs =
+                sinceVersion == 0 ? WatchTimeouts.FIRST_LIST_TIMEOUT_MS : WatchTimeouts.FIRST_CHANGES_TIMEOUT_MS;
+        return startCall(WATCH_PATH + sinceVersion, true, firstList, firstListTimeoutMs);
     }
 
     /** Requests a single list of all endpoints. */
     public void fetchList() {
-        startCall(LIST_PATH, false);
+        startCall(LIST_PATH, false, FirstList.REQUIRED, 0);
     }
 
     /**
      * Migrates to a discovery service at another address; does nothing if the address is unchanged. Until the new
      * service has sent its first list, the list held stays in use, and so does the old watch while it lasts. The new
-     * service is asked for all endpoints, because its list versions are unrelated to those of the old one.
+     * service is asked for all endpoints, because its list versions are unrelated to those of the old one. A migration
+     * back to the agent whose list is held ends there, as if it had not begun, unless its watch has ended meanwhile.
      */
     public void migrateTo(InetSocketAddress to) {
         if (to.equals(service)) {
@@ -168,12 +200,29 @@
         }
         log.line("discovery moves to " + NetUtil.toSocketAddressString(to));
         service = to;
-        migration.begin();
+        if (agentPushesLists && to.equals(listService) && !oldWatchEnded) {
+            migration.cancel();
+            freshness.migrationCancelled();
+            startWatch();
+        } else {
+            freshness.migrationBegan(clock.nowUs());
+            migration.begin();
+        }
+        freshnessMonitor.update();
     }
 
-    private DiscoveryCall startCall(String path, boolean watching) {
+    private DiscoveryCall startCall(String path, boolean watching, FirstList firstList, int firstListTimeoutMs) {
         DiscoveryCall call = new DiscoveryCall(
-                callEvents, eventLoop, clock, timeouts, log, ++callsStarted, service, watching, agentPushesLists);
+                callEvents,
+                eventLoop,
+                clock,
+                timeouts,
+                log,
+                ++callsStarted,
+                service,
+                watching,
+                firstList,
+                firstListTimeoutMs);
         call.start(host.outgoing(), path);
         return call;
     }
@@ -203,8 +252,13 @@
     private void watchLost(DiscoveryCall lost) {
         watch = null;
         if (migration.isActive()) {
+            oldWatchEnded |= !lost.endedWithoutNews();
             return; // expected: the old service ends its watches when it is replaced
         }
+        if (!lost.endedWithoutNews()) {
+            freshness.watchInterrupted(clock.nowUs());
+            freshnessMonitor.update();
+        }
         long nowNs = nowNs();
         if (lost.listWasGivenUp()) {
             retryWatchAfter(listBackoff.nextDelayMs(0));
@@ -257,6 +311,8 @@
         call.close();
         if (call == watch) {
             watch = null;
+            freshness.olderListReceived(clock.nowUs());
+            freshnessMonitor.update();
             retryWatchAfter(
                     WatchTimeouts.MIN_STALE_RETRY_DELAY_MS + random.nextInt(WatchTimeouts.MIN_STALE_RETRY_DELAY_MS));
         } else {
@@ -271,6 +327,9 @@
         watch = call;
         call.expectHeartbeats();
         migration.completed();
+        listService = call.service();
+        oldWatchEnded = false;
+        freshness.migrationCompleted(clock.nowUs());
         if (old != null) {
             old.close("replaced by the watch at the new service");
         }
@@ -291,9 +350,27 @@
         public void watchUpToDate() {
             hasBeenUpToDate = true;
             lastUpToDateNs = nowNs();
+            freshness.watchUpToDate();
+            freshnessMonitor.update();
             listener.watchUpToDate();
         }
 
+        @Override
+        public void watchBehind() {
+            freshness.watchInterrupted(clock.nowUs());
+            freshnessMonitor.update();
+        }
+
+        @Override
+        public void listMissing(DiscoveryCall call) {
+            if (migration.isSuccessor(call)) {
+                migration.callFailed();
+            } else if (call == watch) {
+                watch = null;
+                startWatch();
+            }
+        }
+
         @Override
         public void connectFailed() {
             if (timeouts.connectFailed()) {
--- a/proxy/src/main/java/cacheproxy/discovery/EndpointListListener.java
+++ b/proxy/src/main/java/cacheproxy/discovery/EndpointListListener.java
@@ -19,6 +19,12 @@
      */
     void watchUpToDate();
 
+    /**
+     * The list held may be older than the list agent's ({@code outdated}), so that no attempt may begin; or it is up to
+     * date again. Called on each change; at the start the list is not outdated.
+     */
+    void endpointListOutdated(boolean outdated);
+
     /** Several consecutive connections to discovery have failed: changes cannot be received for now. */
     void discoveryUnreachable();
 }
--- a/proxy/src/main/java/cacheproxy/discovery/ServiceMigration.java
+++ b/proxy/src/main/java/cacheproxy/discovery/ServiceMigration.java
@@ -44,6 +44,15 @@
 
     /** Starts a migration and cancels the one in progress, if any. */
     void begin() {
+        cancel();
+        backoff.reset();
+        listBackoff.reset();
+        startTimeNs = eventLoop.ticker().nanoTime();
+        callService();
+    }
+
+    /** Ends the migration in progress, if any, and stays with the old service. */
+    void cancel() {
         if (successor != null) {
             successor.close("discovery moves again to another service");
             successor = null;
@@ -52,10 +61,6 @@
             retryTimer.cancel(false);
             retryTimer = null;
         }
-        backoff.reset();
-        listBackoff.reset();
-        startTimeNs = eventLoop.ticker().nanoTime();
-        callService();
     }
 
     private void callService() {
--- a/proxy/src/main/java/cacheproxy/discovery/WatchTimeouts.java
+++ b/proxy/src/main/java/cacheproxy/discovery/WatchTimeouts.java
@@ -104,6 +104,18 @@
     /** Older lists are accepted only after this time, which is longer than a replica of the service may lag. */
     static final int MIN_STALE_TIME_MS = 6500;
 
+    /**
+     * How long a watch at an agent may stay open without a list while the list held may be outdated. The first call of
+     * a process requests changes only, so it may rightly bring none; the whole list is requested next.
+     */
+    static final int FIRST_CHANGES_TIMEOUT_MS = 250;
+
+    /** The same for a watch that requests the whole list. */
+    static final int FIRST_LIST_TIMEOUT_MS = 2500;
+
+    /** Bounds {@link #MAX_LIST_BACKOFF_MS} where an agent pushes lists: its lists cost nothing. */
+    static final int MAX_PUSHED_LIST_BACKOFF_MS = 1000;
+
     private static final int PUSH_TIMEOUTS_PER_GRACE = 4;
     private static final int MIN_PUSH_TIMEOUT_MS = 50;
 
--- a/proxy/src/main/java/cacheproxy/routing/EndpointSelector.java
+++ b/proxy/src/main/java/cacheproxy/routing/EndpointSelector.java
@@ -4,6 +4,7 @@
  * Selects the endpoint of an attempt. A key's candidates are ranked by weighted rendezvous hashing; of the first two
  * that are eligible for the request the less busy one is selected. An endpoint is not eligible if it was tried already,
  * if the retry policy forbids it, if slow start does not admit the request, or if it is passed over as an outlier.
+ * While the endpoint list may be out of date, none is eligible.
  */
 final class EndpointSelector {
     private static final int CANDIDATES = 2;
@@ -36,6 +37,9 @@
 
     /** Null: no endpoint is eligible for the request now. */
     Endpoint select(PendingRequest pending, long nowUs) {
+        if (table.isOutdated()) {
+            return null;
+        }
         long key = hashKey(pending, nowUs);
         Endpoint[] ranked = table.rank(key, MAX_RANKED);
         Endpoint selected = null;
@@ -79,8 +83,11 @@
         return other.cpuUtilization.get(nowUs) > endpoint.cpuUtilization.get(nowUs) + UTILIZATION_MARGIN;
     }
 
-    /** Cache-aside: the origin with the fewest requests of this proxy in flight; null: none is listed. */
+    /** Cache-aside: the origin with the fewest requests of this proxy in flight; null: none is eligible. */
     Endpoint selectOrigin() {
+        if (table.isOutdated()) {
+            return null;
+        }
         Endpoint selected = null;
         for (Endpoint origin : table.origins) {
             if (selected == null || origin.inFlight < selected.inFlight) {
--- a/proxy/src/main/java/cacheproxy/routing/EndpointTable.java
+++ b/proxy/src/main/java/cacheproxy/routing/EndpointTable.java
@@ -24,6 +24,9 @@
      */
     double totalWeight;
 
+    /** Whether the list may be out of date, so that none of its endpoints is eligible. */
+    private boolean outdated;
+
     private Endpoint[] best = new Endpoint[0];
     private double[] bestScores = new double[0];
 
@@ -41,6 +44,14 @@
         return cacheAside && endpoint.kind == originKind;
     }
 
+    void setOutdated(boolean newValue) {
+        outdated = newValue;
+    }
+
+    boolean isOutdated() {
+        return outdated;
+    }
+
     void apply(long nowUs, EndpointListKind kind, EndpointInfo[] endpoints, int count) {
         if (kind != EndpointListKind.DELTA) {
             for (int i = 0; i < knownCount; i++) {
--- a/proxy/src/main/java/cacheproxy/routing/FairRouter.java
+++ b/proxy/src/main/java/cacheproxy/routing/FairRouter.java
@@ -77,6 +77,11 @@
         table.apply(nowUs, kind, endpoints, count);
     }
 
+    @Override
+    public void onEndpointListOutdated(long nowUs, boolean outdated) {
+        table.setOutdated(outdated);
+    }
+
     /** Logs a line with the state of the policies; at most one in each interval. */
     private void log(long nowUs, String event, RoutingActions actions) {
         if (nowUs < nextLogUs) {
@@ -173,7 +178,10 @@
         if (pending.attempts >= maxAttempts) {
             return RejectionReason.ATTEMPTS_EXHAUSTED;
         }
-        return endpoint == null ? RejectionReason.NO_ENDPOINT : null;
+        if (endpoint != null) {
+            return null;
+        }
+        return table.isOutdated() ? RejectionReason.ENDPOINT_LIST_OUTDATED : RejectionReason.NO_ENDPOINT;
     }
 
     private static void closeIdleConnections(Endpoint endpoint, RoutingActions actions) {
--- a/proxy/src/main/java/cacheproxy/routing/RejectionReason.java
+++ b/proxy/src/main/java/cacheproxy/routing/RejectionReason.java
@@ -16,6 +16,8 @@
      * excludes the origin, or a fetch from the origin failed, which is not retried.
      */
     NO_ENDPOINT,
+    /** The endpoint list may be out of date: its endpoints may be draining or gone. */
+    ENDPOINT_LIST_OUTDATED,
     /** The retry budget is used up. */
     RETRY_BUDGET_EXHAUSTED,
     /**
--- a/proxy/src/main/java/cacheproxy/routing/RequestRouter.java
+++ b/proxy/src/main/java/cacheproxy/routing/RequestRouter.java
@@ -21,6 +21,12 @@
      */
     void onEndpointList(long nowUs, EndpointListKind kind, EndpointInfo[] endpoints, int count, RoutingActions actions);
 
+    /**
+     * The endpoint list may be out of date, so that no attempt may begin ({@code outdated}), or is up to date again. A
+     * router begins with a list that is up to date.
+     */
+    void onEndpointListOutdated(long nowUs, boolean outdated);
+
     void onRequest(long nowUs, RoutingRequest request, RoutingActions actions);
 
     /**
--- a/proxy/src/main/java/cacheproxy/server/ProxyServer.java
+++ b/proxy/src/main/java/cacheproxy/server/ProxyServer.java
@@ -6,6 +6,7 @@
 import cacheproxy.configuration.ProxyConfiguration;
 import cacheproxy.discovery.DiscoveryClient;
 import cacheproxy.discovery.EndpointListListener;
+import cacheproxy.discovery.ListFreshness;
 import cacheproxy.discovery.ListedEndpoint;
 import cacheproxy.eventloop.EventLoopClock;
 import cacheproxy.eventloop.FaultGuard;
@@ -44,6 +45,11 @@
     private static final int ESTABLISHED_CLIENTS_DIVISOR = 4;
     /** The proxy is ready after this time at the latest: two calls to an overloaded discovery take 2 s each. */
     static final long READINESS_TIMEOUT_US = 4_000_000;
+    /**
+     * The same while the endpoint list may be out of date: requests would only be rejected. Nine in ten restarted
+     * proxies must be ready within 10 s.
+     */
+    static final long OUTDATED_READINESS_TIMEOUT_US = 8_000_000;
     /** SIGKILL follows SIGTERM after the longest deadline, of which at most this much counts, plus 0.7 s. */
     private static final long MAX_DEADLINE_AT_SHUTDOWN_US = 3_000_000;
     /** 0.1 s less than the 0.7 s after which SIGKILL follows, so that the process exits by itself. */
@@ -58,6 +64,7 @@
     private final Log log;
     private final EventLoop loop;
     private final EventLoopClock clock;
+    private final ListFreshness freshness;
     private final ReadinessGate readiness;
     private final RequestOutcomeCounters counters;
     private final RouterDispatcher router;
@@ -82,7 +89,8 @@
         FaultGuard faults = new FaultGuard(log);
         clock = new EventLoopClock(loop, host.unixMs().getAsLong(), log, faults, host.allReadUntilNs());
         counters = new RequestOutcomeCounters(settings);
-        readiness = new ReadinessGate(log);
+        freshness = new ListFreshness(settings);
+        readiness = new ReadinessGate(log, () -> freshness.mayBeOutdated(clock.nowUs()));
         router = new RouterDispatcher(settings, clock, faults);
         exchanges = new RequestExchanges(settings, clock, log, router, readiness, counters);
         int descriptors = configuration.maxFileDescriptors - OWN_DESCRIPTORS;
@@ -106,7 +114,7 @@
                 maxEstablishedClients,
                 Math.min(RequestExchanges.MAX_OPEN_REQUESTS, pools.maxAttempts()),
                 RequestExchanges.MAX_VALUE_BYTES);
-        discovery = new DiscoveryClient(this, clock, configuration, loop, host, log);
+        discovery = new DiscoveryClient(this, freshness, clock, configuration, loop, host, log);
         endpoints = new EndpointList(router, pools, discovery, log);
         listener = new ClientListener(clients, clock, configuration, loop, host);
         // before the router, which starts timers: if a malformed list prevents the start, no timer may be left that
@@ -116,7 +124,7 @@
         router.begin(wrap.apply(new FairRouter(settings, configuration.seed, clock.nowUs(), actions)), actions);
         // before any list from the watch, because the configuration's list is older
         endpointsReceived(EndpointListKind.CACHED, configuredEndpoints);
-        clock.schedule(READINESS_TIMEOUT_US, readiness::timeOut);
+        clock.schedule(READINESS_TIMEOUT_US, this::readinessTimedOut);
     }
 
     private static RequestNames requestNames(RoutingSettings settings) {
@@ -265,6 +273,29 @@
         }
     }
 
+    /** Attempts that wait for a connection are dropped once the router knows, so that it rejects their requests. */
+    @Override
+    public void endpointListOutdated(boolean outdated) {
+        log.line(
+                outdated
+                        ? "endpoint list may be older than the agent's: no attempt begins until the agent has sent its list"
+                        : "endpoint list is up to date: attempts begin");
+        router.endpointListOutdated(outdated);
+        if (outdated) {
+            pools.suspend();
+        } else {
+            pools.resume();
+        }
+    }
+
+    private void readinessTimedOut() {
+        if (freshness.mayBeOutdated(clock.nowUs())) {
+            clock.schedule(OUTDATED_READINESS_TIMEOUT_US - READINESS_TIMEOUT_US, readiness::timeOut);
+        } else {
+            readiness.timeOut();
+        }
+    }
+
     // ---- status and resource accounting ----
 
     /** The status that the control channel reports; its keys are part of the channel's protocol. */
--- a/proxy/src/main/java/cacheproxy/server/ReadinessGate.java
+++ b/proxy/src/main/java/cacheproxy/server/ReadinessGate.java
@@ -2,13 +2,14 @@
 
 import cacheproxy.logging.Log;
 import java.util.ArrayDeque;
+import java.util.function.BooleanSupplier;
 
 /**
  * Decides when the proxy reports that it is ready. Load balancers send clients to a proxy once it has answered
  * {@code mn}. The proxy is ready when an endpoint is serving and discovery has sent its endpoint list. A change that
  * discovery, or the platform's agent that pushes lists, announced before this process started counts as known to this
- * process, so the configuration's list, which may be older, is not used while a newer one is available. Used on the
- * event loop only.
+ * process, so the configuration's list, which may be older, is not used while a newer one is available: a list that may
+ * be out of date (see {@code discovery.ListFreshness}) does not make the proxy ready. Used on the event loop only.
  */
 final class ReadinessGate {
     private static final int MAX_PENDING = 4096;
@@ -27,6 +28,7 @@
     }
 
     private final Log log;
+    private final BooleanSupplier listMayBeOutdated;
     private final ArrayDeque<Runnable> pending = new ArrayDeque<>();
     /** Set once the proxy listens. Before that only the JIT warm-up sends {@code mn}, and it is answered at once. */
     private boolean started;
@@ -35,8 +37,9 @@
     /** Why the proxy no longer waits for the first list; null while it waits. */
     private Cause cause;
 
-    ReadinessGate(Log log) {
+    ReadinessGate(Log log, BooleanSupplier listMayBeOutdated) {
         this.log = log;
+        this.listMayBeOutdated = listMayBeOutdated;
     }
 
     /** Called when the proxy begins to listen: from now on responses wait until it is ready. */
@@ -67,7 +70,7 @@
 
     /** Called when the endpoint list has changed. {@code canServe}: whether an endpoint is serving. */
     void endpointsChanged(boolean canServe) {
-        if (!ready && canServe && cause != null) {
+        if (!ready && canServe && cause != null && !listMayBeOutdated.getAsBoolean()) {
             becomeReady(cause);
         }
     }
--- a/proxy/src/main/java/cacheproxy/server/RouterDispatcher.java
+++ b/proxy/src/main/java/cacheproxy/server/RouterDispatcher.java
@@ -145,6 +145,11 @@
         deliver(() -> router.onEndpointList(clock.nowUs(), kind, endpoints, endpoints.length, actions));
     }
 
+    /** Tells the router whether the endpoint list may be out of date; never held back. */
+    void endpointListOutdated(boolean outdated) {
+        deliver(() -> router.onEndpointListOutdated(clock.nowUs(), outdated));
+    }
+
     private void dispatch(Runnable event) {
         if (heldBack.isEmpty() && clock.stalledForUs(clock.nowUs()) <= holdAfterStallUs) {
             deliver(event);
--- a/proxy/src/main/java/cacheproxy/upstream/EndpointConnection.java
+++ b/proxy/src/main/java/cacheproxy/upstream/EndpointConnection.java
@@ -147,7 +147,7 @@
      * read, it could be written after its request was answered or after the endpoint began to drain.
      */
     private void writeNext() {
-        drop(attempt -> attempt.request().isAnswered() || isTooLateToRetry(attempt));
+        drop(attempt -> attempt.request().isAnswered() || isTooLateToRetry(attempt) || !pool.acceptsAttempts());
         for (Attempt next = nextToWrite(); next != null; next = nextToWrite()) {
             ClientState client = next.request().clientState();
             if (client != ClientState.CONNECTED) {
@@ -214,6 +214,7 @@
         boolean fresh = pools.clock.nowUs() - beingWrittenSinceUs <= MAX_ENCODED_US;
         return beingWritten == null
                 || fresh
+                        && pool.acceptsAttempts()
                         && beingWritten.request().clientState() == ClientState.CONNECTED
                         && !beingWritten.isCompleted();
     }
--- a/proxy/src/main/java/cacheproxy/upstream/EndpointPool.java
+++ b/proxy/src/main/java/cacheproxy/upstream/EndpointPool.java
@@ -181,9 +181,19 @@
     void onDrainingOrGone() {
         drainingOrGone = true;
         closeIdle();
+        dropUnsent();
+    }
+
+    /** Completes all attempts that have not begun as not sent. */
+    void dropUnsent() {
         List.copyOf(connections).forEach(EndpointConnection::dropUnsent);
     }
 
+    /** Whether an attempt may begin now. */
+    boolean acceptsAttempts() {
+        return !drainingOrGone && !pools.isSuspended();
+    }
+
     /** The endpoint is listed, possibly with another address or start time. */
     void update(SocketAddress newAddress, long newStartedUs) {
         drainingOrGone = false;
--- a/proxy/src/main/java/cacheproxy/upstream/EndpointPools.java
+++ b/proxy/src/main/java/cacheproxy/upstream/EndpointPools.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.SocketChannelConfig;
 import java.net.SocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -51,6 +52,8 @@
     private final Map<Integer, EndpointPool> poolsByNumber = new HashMap<>();
     private final ByteBudget incomingBytes = new ByteBudget(MAX_INCOMING_RESPONSE_BYTES);
     private int connections;
+    /** Whether no attempt may begin at any endpoint. */
+    private boolean suspended;
 
     /**
      * @param channels creates the channel of a new connection
@@ -114,6 +117,21 @@
         }
     }
 
+    /** From now on no attempt begins; those that have not begun are completed as not sent. Connections are kept. */
+    public void suspend() {
+        suspended = true;
+        List.copyOf(poolsByNumber.values()).forEach(EndpointPool::dropUnsent);
+    }
+
+    /** Attempts may begin again. */
+    public void resume() {
+        suspended = false;
+    }
+
+    boolean isSuspended() {
+        return suspended;
+    }
+
     /** The number of attempts that the connections of all endpoints have room for. */
     public int maxAttempts() {
         return maxConnections * streamsPerConnection;
--- a/proxy/src/test/java/cacheproxy/routing/RoutingRulesTest.java
+++ b/proxy/src/test/java/cacheproxy/routing/RoutingRulesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** The rules for retries, deadlines, draining, slow start and cache-aside, for each kind of idempotency. */
@@ -213,6 +214,26 @@
         assertEquals(6, fixture.lastEndpoint(), "endpoints that a full list omits are gone");
     }
 
+    /** Issue 61: first, retried and hedged attempts went by a list that may have been older than the agent's. */
+    @Test
+    void sendsNothingWhileEndpointListMayBeOutdated() {
+        FairRouter router = routerFor(Idempotency.IDEMPOTENT);
+        router.onRequest(0, Fixture.request(1, 11, S), fixture);
+        router.onRequest(0, Fixture.request(2, 12, S), fixture);
+        assertEquals(2, fixture.sent.size());
+        router.onEndpointListOutdated(MS, true);
+        router.onRequest(MS, Fixture.request(3, 13, S), fixture);
+        assertEquals(List.of(3L), fixture.rejected, "a new request");
+        fixture.outcome(router, 2 * MS, 1, 0, AttemptOutcome.OVERLOADED);
+        assertEquals(List.of(3L, 1L), fixture.rejected, "a retry");
+        fixture.fireTimers(router, 290 * MS);
+        assertEquals(2, fixture.sent.size(), "a hedged request");
+        fixture.outcome(router, 300 * MS, 2, 0, AttemptOutcome.OK);
+        router.onEndpointListOutdated(400 * MS, false);
+        router.onRequest(400 * MS, Fixture.request(4, 14, S), fixture);
+        assertEquals(3, fixture.sent.size());
+    }
+
     @Test
     void allProxiesSendWarmingEndpointTheSameGrowingShareOfKeys() {
         EndpointInfo[] endpoints = Fixture.endpoints(4);
--- a/proxy/src/test/java/cacheproxy/server/WatchLifecycleTest.java
+++ b/proxy/src/test/java/cacheproxy/server/WatchLifecycleTest.java
@@ -194,15 +194,21 @@
      * before the first list was formerly sent to a node that had drained while the process was down.
      */
     @Test
-    void holdsMnUntilFirstDataOfAgent() throws Exception {
-        for (String first : new String[] {"", ProxyFixture.endpointList(1, false)}) {
+    void holdsMnUntilFirstListOfAgent() throws Exception {
+        for (boolean beginsWithEmptyLine : new boolean[] {true, false}) {
             try (ProxyFixture fixture = new ProxyFixture(1, settings -> PUSHED_LIST_SETTINGS, 1024)) {
                 Peer watch = fixture.watch();
                 Peer client = fixture.client();
                 client.send("mn\r\n");
                 awaitReadOfEarlierInput(fixture);
                 assertFalse(client.ready(), "MN before the agent has sent its list");
-                ProxyFixture.sendChunks(watch, first);
+                if (beginsWithEmptyLine) {
+                    ProxyFixture.sendChunks(watch, "");
+                    watch.expectEnd(); // an agent without its service may send nothing but empty lines
+                    watch = fixture.watch();
+                    assertFalse(client.ready(), "MN before the agent has sent its list");
+                }
+                ProxyFixture.sendChunks(watch, ProxyFixture.endpointList(1, false));
                 client.expect("MN");
             }
         }
