--- a/proxy/src/test/java/cacheproxy/server/ServingNode.java
+++ b/proxy/src/test/java/cacheproxy/server/ServingNode.java
@@ -3,10 +3,12 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongConsumer;
 
 /** A stand-in cache node on a real socket that serves every command immediately and counts them. */
 final class ServingNode implements Closeable {
     final Peer.Listener listener;
+    private final LongConsumer onCommand;
     private final AtomicInteger served = new AtomicInteger();
     private final Thread acceptor = new Thread(this::acceptAll, "serving node");
 
@@ -16,7 +18,13 @@
 
     /** Serves what is accepted by this listener, and closes it in the end. */
     ServingNode(Peer.Listener listener) {
+        this(listener, atNs -> {});
+    }
+
+    /** {@code onCommand} receives the time at which each command was read; called on the connections' threads. */
+    ServingNode(Peer.Listener listener, LongConsumer onCommand) {
         this.listener = listener;
+        this.onCommand = onCommand;
         acceptor.setDaemon(true);
         acceptor.start();
     }
@@ -43,6 +51,7 @@
         try {
             connection.socket.setSoTimeout(0);
             for (String line = connection.line(); line != null; line = connection.line()) {
+                onCommand.accept(System.nanoTime());
                 served.incrementAndGet();
                 boolean write = line.startsWith("ms ");
                 if (write) {
