ClientFloodTest: the stand-in of discovery sends its empty lines

By its log the watch was given up as silent (ReadTimeoutException, call 1) before the flood stood, since the stand-in never sent the empty line that the protocol page wants every 2 s; its list then went to a closed watch.

Change: an empty line each 0.5 s. Every check and bound is as it was.

--- a/proxy/src/test/java/cacheproxy/server/ClientFloodTest.java
+++ b/proxy/src/test/java/cacheproxy/server/ClientFloodTest.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -42,6 +44,9 @@
 
     private Peer.Listener discovery;
     private Peer watch;
+    /** Sends the empty line that discovery sends while nothing changes; without it the proxy gives the watch up. */
+    private final ScheduledExecutorService heartbeat = Executors.newSingleThreadScheduledExecutor();
+
     private HoldingNode node;
     private HoldingNode drainingNode;
     private ProxyChildProcess child;
@@ -58,14 +63,24 @@
         options.env = Map.of("LB_CONTROL", controlSocket().toString(), "LB_SECRET", "s3cret");
         child = options.with(discovery, list(1, "SERVING"));
         watch = ProxyFixture.watch(discovery);
-        ProxyFixture.sendChunks(watch, list(1, "SERVING"));
+        sendOnWatch(list(1, "SERVING"));
+        heartbeat.scheduleAtFixedRate(() -> sendOnWatch(""), 500, 500, TimeUnit.MILLISECONDS);
         other = child.connectWhenReady();
         other.socket.setSoTimeout(LOST_AFTER_MS);
         answerToOther(); // a connection that was used again is not closed to make room
     }
 
+    private synchronized void sendOnWatch(String line) {
+        try {
+            ProxyFixture.sendChunks(watch, line);
+        } catch (IOException e) {
+            // the proxy has been moved to another service, or was killed
+        }
+    }
+
     @AfterEach
     void close() throws IOException {
+        heartbeat.shutdownNow();
         child.close();
         node.close();
         drainingNode.close();
@@ -201,7 +216,7 @@
     @Test
     void hearsDiscoveryOperatorsAndLeavingClientsWhileAllConnectionsFlood() throws Exception {
         List<Peer> clients = flood();
-        ProxyFixture.sendChunks(watch, list(2, "DRAINING"));
+        sendOnWatch(list(2, "DRAINING"));
         child.await(
                 "to hear of the draining node",
                 () -> status().get("nodes").toString().contains("draining=1"));
